Give operators an address, figures, a drain that can be undone, and take the socket from GW_FD

Design: one explicit lifecycle state (starting, serving, draining, terminating) owns readiness, accepting, keep-alive and the end; the engine only answers what it holds. Stats count a request where its one answer is written and an attempt where its last byte has gone; rendering is a pure function. The management listener is a protocol of its own with eight places, a read time-out and no state: it calls four methods of the engine. Idle connections are closed only when the system holds nothing unread for them (FIONREAD), so that a close does not cross a request.

Way not taken: serving /stats and the drain calls on the clients' listener, by path. It would need no second socket, but a crowd of clients or the drain itself would keep the operators out, and it would tie the operators' calls to the one front. Closing idle clients at once on a drain was left too: they use their connections for a while, and an answer that says `Connection: close` costs none of them a request.

--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -8,6 +8,7 @@
 import logging
 import os
 import signal
+import socket
 import sys
 from dataclasses import dataclass
 
@@ -18,6 +19,7 @@
 from .net.engine import Engine
 from .net.front import Front
 from .net.limits import MB
+from .net.management import Management
 from .net.peers import Address, Peers
 from .settings import Transport, nested_settings, nested_transport
 
@@ -40,6 +42,7 @@
     seed: int
     sockets: int
     memory: int
+    management: Address | None
     peer_listen: Address | None
     peers: list[Address]
     peers_all: Address | None
@@ -66,6 +69,7 @@
             seed=int(data["seed"], 16),
             sockets=min(int(limits.get("sockets", SOCKETS)), SOCKETS),
             memory=int(limits.get("memory_mb", MEMORY_MB) * MB),
+            management=_management(data),
             peer_listen=split_address(data["peer_listen"]) if data.get("peer_listen") else None,
             peers=[split_address(peer) for peer in data.get("peers", [])],
             peers_all=split_address(data["peers_all"]) if data.get("peers_all") else None,
@@ -82,6 +86,32 @@
         raise ConfigError(f"{path}: {' '.join(str(error).split())}") from None
 
 
+def _management(data: dict) -> Address | None:
+    """The operators' address: two processes may share a configuration, so the environment comes first."""
+    text = os.environ.get("GW_MANAGEMENT") or data.get("management")
+    return split_address(text, least_port=0) if text else None
+
+
+def inherited_socket(text: str | None) -> socket.socket | None:
+    """The clients' listening socket, where the platform holds it for every process."""
+    if not text:
+        return None
+    try:
+        if not (text.isascii() and text.isdigit()):
+            raise ValueError("no number")
+        sock = socket.socket(fileno=int(text))
+        try:
+            listening = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+        except OSError:
+            listening = 0
+        if not listening or sock.type != socket.SOCK_STREAM:
+            sock.detach()
+            raise ValueError("no listening socket")
+    except (OSError, ValueError, OverflowError) as error:
+        raise ConfigError(f"GW_FD {text!r} can't be used: {error}") from None
+    return sock
+
+
 def start_engine(loop: asyncio.AbstractEventLoop, config: Config) -> Engine:
     return Engine(
         loop,
@@ -108,16 +138,25 @@
 
 async def run(config: Config, path: str | None) -> None:
     loop = asyncio.get_running_loop()
+    inherited = inherited_socket(os.environ.get("GW_FD"))
     engine = start_engine(loop, config)
+    management = Management(loop, engine)
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, engine.drain)
+        loop.add_signal_handler(number, engine.lifecycle.terminate)
     loop.add_signal_handler(signal.SIGHUP, reload, engine, path)
     try:
         if config.peer_listen is not None:
             peers = Peers(config.settings.index, config.peers, config.peers_all, engine.on_peer)
             await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
             engine.peers = peers
-        engine.server = await loop.create_server(lambda: Front(engine), *config.listen, backlog=BACKLOG)
+        if config.management is not None:
+            listener = await loop.create_server(management.call, *config.management, backlog=BACKLOG)
+            log.info("operators are heard at %s:%d", *listener.sockets[0].getsockname())
+        if inherited is not None:
+            server = await loop.create_server(lambda: Front(engine), sock=inherited, backlog=BACKLOG)
+        else:
+            server = await loop.create_server(lambda: Front(engine), *config.listen, backlog=BACKLOG)
+        engine.lifecycle.serve(server)
     except OSError as error:
         raise ConfigError(f"can't listen: {error}") from None
     # What was made until now lives as long as the process: collections need not look at it again, nor
@@ -125,8 +164,9 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
-    log.info("%s listens at %s:%d", config.name, *engine.server.sockets[0].getsockname())
-    await engine.stopped
+    log.info("%s listens at %s:%d", config.name, *server.sockets[0].getsockname())
+    await engine.lifecycle.stopped
+    management.close()
     engine.close()
 
 
--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -334,6 +334,11 @@
             self.actions.append(SetTimer(max(self.timer_armed - now_ns, 1), self.timer_token))
         return self.actions
 
+    @property
+    def ejected_count(self) -> int:
+        """Listed servers that are avoided at present; for operators."""
+        return len(self.ejected)
+
     # Events
 
     def _on_request(self, event: Request) -> None:
--- a/dykefold/net/clients.py
+++ b/dykefold/net/clients.py
@@ -77,7 +77,14 @@
             else:
                 front.expire()
         for front in _since(self.idle, now - IDLE_MOST):
-            front.close()
+            if front.quiet:
+                front.close()
+
+    def close_quiet(self) -> None:
+        """Close every connection on which nothing is open, has begun or waits to be read."""
+        for front in list(self.all):
+            if front.quiet:
+                front.close()
 
 
 def _since(places: dict[Front, float], time: float) -> list[Front]:
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -13,9 +13,11 @@
 from ..interface import Settings, State, Status
 from ..logic import Balancer
 from ..settings import Transport
+from ..stats import Gauges, Stats, render
 from .clients import Clients
 from .discovery import Discovery, Listed, Names, News
 from .front import BODY_MOST, Call, Front, Grammar
+from .lifecycle import Lifecycle
 from .limits import Descriptors, Memory
 from .peers import Address, Peers
 from .reports import Reports
@@ -31,9 +33,6 @@
 SWEEP_EVERY = 0.25
 IDS_KEPT = 4.0  # seconds, and ...
 IDS_MOST = 8192  # ... so many ids of requests that are over can't be used again
-ACCEPT_AFTER_TERM = 0.5  # seconds for which new connections and requests still come
-ANSWER_AFTER_TERM = 3.3  # seconds after which nothing held goes unanswered: the platform kills soon after
-FLUSH_AFTER_TERM = 0.3  # seconds beyond that for clients to read their answers
 
 
 class Clock:
@@ -108,10 +107,8 @@
         self.next_id = 1
         self.events: deque[api.Event] = deque()
         self.handling = False
-        self.draining = False
-        self.taking = True
-        self.stopped = loop.create_future()
-        self.server: asyncio.Server | None = None
+        self.stats = Stats([spec.name for spec in settings.classes])
+        self.lifecycle = Lifecycle(loop, self.clients, self._answer_all)
         self.reported_at = -math.inf  # when an exception of the module was last logged
         self._apply(known, api.ListKind.CACHED)
         if not settings.must_ask:
@@ -250,8 +247,6 @@
         self.held.pop(held.id, None)
         if held.timer is not None:
             held.timer.cancel()
-        if self.draining:
-            self._end_if_done()
 
     def _refuse(self, action: api.Refuse) -> None:
         held = self.held.get(action.id)
@@ -281,7 +276,7 @@
         def done(_: Exchange, status: Status, answer: Answer | None) -> None:
             self._end_attempt(held, attempt, status, answer)
 
-        attempt.exchange = Exchange(self._payload(held.call, wait), done, BODY_MOST)
+        attempt.exchange = Exchange(self._payload(held.call, wait), done, BODY_MOST, self.stats.forwarded)
         self.upstreams.start(action.server, attempt.exchange, wait / SECOND)
 
     @staticmethod
@@ -381,8 +376,7 @@
         if held is not None:
             self._settle(held)
             self.post(api.Dropped(held.id))
-        elif self.draining:
-            self._end_if_done()
+        self.lifecycle.client_left()
 
     # Housekeeping and the end
 
@@ -391,41 +385,32 @@
         self.clients.sweep()
         self.loop.call_later(SWEEP_EVERY, self._sweep)
 
-    def drain(self) -> None:
-        """Begin a planned end: answer what is held and what still comes for a moment, then stop."""
-        if self.draining:
-            return
-        self.draining = True
-        log.info("draining: %d requests held", len(self.held))
-        self.loop.call_later(ACCEPT_AFTER_TERM, self._stop_taking)
-        self.loop.call_later(ANSWER_AFTER_TERM, self._answer_all)
-        self.loop.call_later(ANSWER_AFTER_TERM + FLUSH_AFTER_TERM, self._stop)
-
-    def _stop_taking(self) -> None:
-        self.taking = False
-        if self.server is not None:
-            self.server.close()
-        self.server = None
-        for front in list(self.clients.all):
-            if front.idle:
-                front.close()
-        self._end_if_done()
-
     def _answer_all(self) -> None:
         for held in list(self.held.values()):
             self._guard(held)
 
-    def _end_if_done(self) -> None:
-        """The end has come when nobody is connected any more: every answer has been flushed."""
-        if self.server is None and not self.clients.all:
-            self._stop()
+    # What operators ask and order
+
+    def healthy(self) -> bool:
+        return self.lifecycle.ready
+
+    def report(self) -> str:
+        gauges = Gauges(
+            outstanding=len(self.held),
+            discovered=len(self.upstreams.targets),
+            ejected=self.balancer.ejected_count,
+        )
+        return render(self.stats, gauges)
+
+    def fail(self) -> bool:
+        return self.lifecycle.fail()
 
-    def _stop(self) -> None:
-        if not self.stopped.done():
-            self.stopped.set_result(None)
+    def ok(self) -> bool:
+        return self.lifecycle.ok()
 
     def close(self) -> None:
         """Let go of all sockets."""
+        self.lifecycle.close()
         self.discovery.close()
         self.upstreams.close()
         if self.peers is not None and self.peers.transport is not None:
--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -4,14 +4,17 @@
 
 import asyncio
 import re
+import termios
 from collections import deque
 from dataclasses import dataclass
+from fcntl import ioctl
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
 import httptools
 
 from ..interface import Effect, Settings
+from ..stats import Disposition
 from .upstream import HOP_BY_HOP
 
 if TYPE_CHECKING:
@@ -51,9 +54,10 @@
 class RequestError(Exception):
     """A request that is answered here and never reaches the module."""
 
-    def __init__(self, code: int, text: str) -> None:
+    def __init__(self, code: int, text: str, cls: int | None = None) -> None:
         super().__init__(text)
         self.code = code
+        self.cls = cls  # where it could be told; only then it counts as a request
         self.keep_alive = True
 
 
@@ -91,6 +95,13 @@
     return int(float(match[1]) * DEADLINE_UNITS[match[2]])
 
 
+def disposition(code: int) -> Disposition:
+    """What a client takes an answer for."""
+    if code == 200:
+        return Disposition.SUCCEEDED
+    return Disposition.DECLINED if code in (429, 503) else Disposition.ABORTED
+
+
 class Grammar:
     """What the settings say of requests: which classes and tenants there are."""
 
@@ -197,6 +208,14 @@
         """Whether it can be closed without harm: no request waits, no answer is still on its way out."""
         return self.current is None and not self.waiting and not self.unread and not self.deaf
 
+    @property
+    def quiet(self) -> bool:
+        """Whether nothing has begun either, not even in what the system holds unread."""
+        if not self.idle or self.begun or self.closed or self.transport is None:
+            return False
+        fd = self.transport.get_extra_info("socket").fileno()
+        return fd < 0 or ioctl(fd, termios.FIONREAD, b"\0\0\0\0") == b"\0\0\0\0"
+
     # The transport's calls
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -258,7 +277,7 @@
             self.slow.cancel()
             self.slow = None
         self._pump()
-        if self.idle and not self.engine.taking:
+        if self.engine.lifecycle.emptying and self.quiet:
             self.close()
 
     # The parser's calls
@@ -370,20 +389,23 @@
         try:
             while self.waiting and self.current is None and not self.unread and not self.closed:
                 item = self.waiting.popleft()
-                if type(item) is Call and self.engine.claim(item):
+                if type(item) is Call and self.engine.lifecycle.turns_away:
+                    self._release(item.size)
+                    self._respond(503, b"", b"draining\n", False, item.cls)
+                elif type(item) is Call and self.engine.claim(item):
                     self.current = item
                     self.engine.take(self, item)
                 elif type(item) is Call:
                     self._release(item.size)
-                    self._respond(
-                        409, b"", b"a request with this id is open or has just been\n", item.keep_alive
-                    )
+                    text = b"a request with this id is open or has just been\n"
+                    self._respond(409, b"", text, item.keep_alive, item.cls)
                 elif type(item) is Ready:
-                    ok = not self.engine.draining
-                    text = b"ready\n" if ok else b"draining\n"
+                    ok = self.engine.lifecycle.ready
+                    text = b"ready\n" if ok else b"not ready\n"
                     self._respond(200 if ok else 503, b"", text, item.keep_alive)
                 else:
-                    self._respond(item.code, b"", f"{item}\n".encode(), item.keep_alive and not self.deaf)
+                    keep_alive = item.keep_alive and not self.deaf
+                    self._respond(item.code, b"", f"{item}\n".encode(), keep_alive, item.cls)
         finally:
             self.pumping = False
         if self.paused and len(self.waiting) < WAITING_MOST and self.transport is not None and not self.deaf:
@@ -396,12 +418,16 @@
             return
         self.current = None
         self._release(call.size)
-        self._respond(code, headers, body, call.keep_alive)
+        self._respond(code, headers, body, call.keep_alive, call.cls)
         self._pump()
         self.engine.clients.place(self)
 
-    def _respond(self, code: int, headers: bytes, body: bytes, keep_alive: bool) -> None:
-        if self.engine.draining and not self.waiting:
+    def _respond(
+        self, code: int, headers: bytes, body: bytes, keep_alive: bool, cls: int | None = None
+    ) -> None:
+        if cls is not None:
+            self.engine.stats.ended(cls, disposition(code))
+        if self.engine.lifecycle.leaving and not self.waiting:
             keep_alive = False
         self._write(
             b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n%s\r\n%s"
--- /dev/null
+++ b/dykefold/net/lifecycle.py
@@ -0,0 +1,133 @@
+"""The one state of the process: what readiness, accepting, keep-alive and the end follow from."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from enum import Enum
+
+from .clients import Clients
+
+log = logging.getLogger("dykefold")
+
+ACCEPT_AFTER_TERM = 0.5  # seconds for which new connections still come after SIGTERM
+EMPTY_AFTER = 1.0  # seconds of a drain in which clients' next answers tell them to leave by themselves
+EMPTY_EVERY = 0.1  # seconds between looks for connections that have become idle since
+ANSWER_AFTER_TERM = 3.3  # seconds after which nothing held goes unanswered: the platform kills soon after
+FLUSH_AFTER_TERM = 0.3  # seconds beyond that for clients to read their answers
+
+
+class Phase(Enum):
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"  # emptied by an operator; can be undone
+    TERMINATING = "terminating"  # the process ends; can't be undone
+
+
+class Lifecycle:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, clients: Clients, answer_all: Callable[[], None]
+    ) -> None:
+        self.loop = loop
+        self.clients = clients
+        self.answer_all = answer_all
+        self.phase = Phase.STARTING
+        self.emptying = False  # idle connections are closed, and what still comes is turned away
+        self.server: asyncio.Server | None = None
+        self.stopped: asyncio.Future[None] = loop.create_future()
+        self.emptier: asyncio.TimerHandle | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether clients may be sent here."""
+        return self.phase is Phase.SERVING
+
+    @property
+    def leaving(self) -> bool:
+        """Whether answers tell their clients to come back on another connection."""
+        return self.phase in (Phase.DRAINING, Phase.TERMINATING)
+
+    @property
+    def turns_away(self) -> bool:
+        """Whether a drain is so far on that a new request would hold it up."""
+        return self.phase is Phase.DRAINING and self.emptying
+
+    def serve(self, server: asyncio.Server) -> None:
+        """The listening socket is open."""
+        self.server = server
+        if self.phase is Phase.STARTING:
+            self.phase = Phase.SERVING
+
+    # An operator's drain
+
+    def fail(self) -> bool:
+        """Begin to empty the sidecar; False if it is ending anyway."""
+        if self.phase is Phase.TERMINATING:
+            return False
+        if self.phase is not Phase.DRAINING:
+            self.phase = Phase.DRAINING
+            log.info("draining: an operator empties this sidecar")
+            self.emptier = self.loop.call_later(EMPTY_AFTER, self._empty)
+        return True
+
+    def ok(self) -> bool:
+        """Go back to work; False if the process is ending."""
+        if self.phase is Phase.TERMINATING:
+            return False
+        if self.phase is Phase.DRAINING:
+            self.phase = Phase.SERVING
+            self._stop_emptying()
+            log.info("serving again: the drain was undone")
+        return True
+
+    def _empty(self) -> None:
+        """Close what stands idle, again and again: a connection may have been busy until now."""
+        self.emptying = True
+        self.clients.close_quiet()
+        self.emptier = self.loop.call_later(EMPTY_EVERY, self._empty)
+        self._end_if_done()
+
+    def _stop_emptying(self) -> None:
+        self.emptying = False
+        if self.emptier is not None:
+            self.emptier.cancel()
+            self.emptier = None
+
+    # The planned end
+
+    def terminate(self) -> None:
+        """Answer what is held and what still comes for a moment, then stop."""
+        if self.phase is Phase.TERMINATING:
+            return
+        self.phase = Phase.TERMINATING
+        self._stop_emptying()
+        log.info("terminating: %d clients connected", len(self.clients.all))
+        self.loop.call_later(ACCEPT_AFTER_TERM, self._stop_accepting)
+        self.loop.call_later(ANSWER_AFTER_TERM, self.answer_all)
+        self.loop.call_later(ANSWER_AFTER_TERM + FLUSH_AFTER_TERM, self._stop)
+
+    def _stop_accepting(self) -> None:
+        """Close the own descriptor only: another process may go on listening on the same socket."""
+        if self.server is not None:
+            self.server.close()
+        self.server = None
+        self._empty()
+
+    def client_left(self) -> None:
+        self._end_if_done()
+
+    def _end_if_done(self) -> None:
+        """The end has come when nobody is connected any more: every answer has been flushed."""
+        if self.phase is Phase.TERMINATING and self.server is None and not self.clients.all:
+            self._stop()
+
+    def _stop(self) -> None:
+        if not self.stopped.done():
+            self.stopped.set_result(None)
+
+    def close(self) -> None:
+        self._stop_emptying()
+        if self.server is not None:
+            self.server.close()
+        self.server = None
--- a/dykefold/net/limits.py
+++ b/dykefold/net/limits.py
@@ -8,7 +8,8 @@
 class Descriptors:
     """The sockets that this process may hold, on both sides together."""
 
-    RESERVE = 40  # for the loop, listening, discovery and peers, which take 20, and for bursts of clients
+    RESERVE = 50  # for the loop, listening, discovery, peers and operators' calls, which take 30, and for
+    # bursts of clients
 
     def __init__(self, limit: int) -> None:
         self.limit = max(limit - self.RESERVE, 8)
--- /dev/null
+++ b/dykefold/net/management.py
@@ -0,0 +1,157 @@
+"""The operators' address: one small HTTP/1.1 call per connection, each handed to the `Operated` part.
+
+It holds no state of the sidecar. It is bounded on its own, so that callers that send nothing can keep
+neither the next caller nor any client out.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+import httptools
+
+CALLS_MOST = 8  # connections at a time; the reserve of descriptors has room for them
+CALL_BYTES_MOST = 8 * 1024
+READ_WITHIN = 0.9  # seconds from connecting until the whole call has come
+READ_ANSWER_WITHIN = 2.0  # seconds until the caller has taken its answer
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
+
+
+class Operated(Protocol):
+    """What can be asked of a sidecar, by whatever protocol."""
+
+    def healthy(self) -> bool: ...
+
+    def report(self) -> str: ...
+
+    def fail(self) -> bool: ...
+
+    def ok(self) -> bool: ...
+
+
+class Management:
+    """All calls together."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, operated: Operated) -> None:
+        self.loop = loop
+        self.calls: dict[Call, None] = {}  # in the order they came
+        self.routes = {
+            b"/healthcheck": (b"GET", lambda: _verdict(operated.healthy())),
+            b"/stats": (b"GET", lambda: (200, operated.report())),
+            b"/healthcheck/fail": (b"POST", lambda: _verdict(operated.fail())),
+            b"/healthcheck/ok": (b"POST", lambda: _verdict(operated.ok())),
+        }
+
+    def call(self) -> Call:
+        """The protocol for a new connection."""
+        return Call(self)
+
+    def admit(self, call: Call) -> None:
+        self.calls[call] = None
+        if len(self.calls) > CALLS_MOST:
+            # Who has been silent longest goes first. A new caller is not yet known to be silent.
+            others = [other for other in self.calls if other is not call]
+            next((other for other in others if not other.answered), others[0]).drop()
+
+    def answer(self, method: bytes, target: bytes) -> tuple[int, str, str]:
+        """Code, body and further header lines."""
+        route = self.routes.get(target.split(b"?", 1)[0])
+        if route is None:
+            return 404, "unknown path\n", ""
+        allowed, do = route
+        if method != allowed:
+            return 405, "wrong method\n", f"Allow: {allowed.decode()}\r\n"
+        code, body = do()
+        return code, body, ""
+
+    def close(self) -> None:
+        for call in list(self.calls):
+            call.drop()
+
+
+def _verdict(yes: bool) -> tuple[int, str]:
+    return (200, "yes\n") if yes else (503, "no\n")
+
+
+class Call(asyncio.Protocol):
+    """One connection: reads one call, answers it, closes."""
+
+    def __init__(self, management: Management) -> None:
+        self.management = management
+        self.parser = httptools.HttpRequestParser(self)
+        self.transport: asyncio.Transport | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.target = b""
+        self.size = 0
+        self.complete = False
+        self.answered = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        self.timer = self.management.loop.call_later(READ_WITHIN, self._expire)
+        self.management.admit(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.answered:
+            return  # one call per connection: what follows is not read
+        self.size += len(data)
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._write(400, "unreadable call\n")
+            return
+        if self.complete:
+            method = self.parser.get_method()
+            try:
+                answer = self.management.answer(method, self.target)
+            except Exception:
+                self._write(500, "the call failed\n")
+                raise  # the loop logs it
+            self._write(*answer)
+        elif self.size > CALL_BYTES_MOST:
+            self._write(400, "the call is too long\n")
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.management.calls.pop(self, None)
+        if self.timer is not None:
+            self.timer.cancel()
+        del self.parser  # the two refer to each other
+
+    def _expire(self) -> None:
+        if self.size:
+            self._write(408, "the call took too long to come\n")
+        else:
+            self.drop()
+
+    def _write(self, code: int, body: str, headers: str = "") -> None:
+        if self.answered or self.transport is None or self.transport.is_closing():
+            return
+        self.answered = True
+        head = f"HTTP/1.1 {code} {REASONS[code]}\r\nContent-Type: text/plain\r\n{headers}"
+        self.transport.write(
+            f"{head}Content-Length: {len(body.encode())}\r\nConnection: close\r\n\r\n{body}".encode()
+        )
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.management.loop.call_later(READ_ANSWER_WITHIN, self.drop)
+        self.transport.close()  # once what was written has gone
+
+    def drop(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+        self.management.calls.pop(self, None)
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -53,12 +53,15 @@
 class Exchange:
     """One request on its way to one server, until its one end."""
 
-    __slots__ = ("answer_most", "connection", "done", "opening", "payload", "timer")
+    __slots__ = ("answer_most", "connection", "done", "opening", "payload", "timer", "written")
 
-    def __init__(self, payload: bytes, done: Done, answer_most: int) -> None:
+    def __init__(
+        self, payload: bytes, done: Done, answer_most: int, written: Callable[[], None] | None = None
+    ) -> None:
         self.payload = payload
         self.done: Done | None = done
         self.answer_most = answer_most
+        self.written = written  # called once, when its last byte has been written
         self.connection: Connection | None = None  # once the first byte has gone out
         self.opening: asyncio.Task[None] | None = None  # while a connection is being made
         self.timer: asyncio.TimerHandle | None = None
@@ -150,7 +153,13 @@
         self.unwritten = True
 
     def resume_writing(self) -> None:
-        self.unwritten = False
+        if self.unwritten:
+            self.unwritten = False
+            self._tell_written()
+
+    def _tell_written(self) -> None:
+        if self.exchange is not None and self.exchange.written is not None:
+            self.exchange.written()
 
     def data_received(self, data: bytes) -> None:
         if self.exchange is None:
@@ -265,6 +274,8 @@
             self.transport.write(memoryview(exchange.payload)[sent:])
             if not self.transport.is_closing() and not self.transport.get_write_buffer_size():
                 self.unwritten = False
+        if not self.unwritten:
+            self._tell_written()
         return True
 
     def _finish(self) -> None:
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -197,13 +197,11 @@
     async def __aenter__(self):
         loop = asyncio.get_running_loop()
         server = await loop.create_server(lambda: Front(self.engine), HOST, 0)
-        self.engine.server = server
+        self.engine.lifecycle.serve(server)
         self.port = server.sockets[0].getsockname()[1]
         return self
 
     async def __aexit__(self, *_):
-        if self.engine.server is not None:
-            self.engine.server.close()
         self.engine.close()
 
 
--- /dev/null
+++ b/tests/test_management.py
@@ -0,0 +1,248 @@
+"""The operators' address: its calls, its strictness, its bounds, and what the figures say."""
+
+import asyncio
+import contextlib
+
+import pytest
+from net_helpers import (
+    HOST,
+    Fake,
+    Sidecar,
+    answer_ok,
+    ask,
+    config,
+    entry,
+    message,
+    news,
+    read_message,
+    reply,
+    run,
+    silent,
+    until,
+)
+
+from dykefold.net import lifecycle, management
+from dykefold.net.management import Management
+from dykefold.stats import Disposition, Gauges, Stats, render
+
+READY = b"GET /-/ready HTTP/1.1\r\n\r\n"
+
+
+def call(method, path):
+    return f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+
+
+@contextlib.asynccontextmanager
+async def managed(sidecar):
+    """The operators' listener of a sidecar: its port."""
+    loop = asyncio.get_running_loop()
+    listener = Management(loop, sidecar.engine)
+    server = await loop.create_server(listener.call, HOST, 0)
+    try:
+        yield server.sockets[0].getsockname()[1]
+    finally:
+        server.close()
+        listener.close()
+
+
+async def figures(port):
+    got = await ask(port, call("GET", "/stats"))
+    assert got.code == 200
+    return {name: int(value) for name, value in (line.split("=") for line in got.body.decode().split())}
+
+
+def test_rendering_lists_every_class_from_nought():
+    stats = Stats(["a", "b"])
+    stats.ended(1, Disposition.DECLINED)
+    stats.forwarded()
+    assert render(stats, Gauges(outstanding=3, discovered=2, ejected=1)).splitlines() == [
+        "app.results.a.succeeded=0",
+        "app.results.a.declined=0",
+        "app.results.a.aborted=0",
+        "app.results.b.succeeded=0",
+        "app.results.b.declined=1",
+        "app.results.b.aborted=0",
+        "app.forwards=1",
+        "app.outstanding=3",
+        "app.discovered=2",
+        "app.ejected=1",
+    ]
+
+
+def test_the_figures_follow_what_clients_and_servers_saw(tmp_path):
+    async def play():
+        async def act(message, reader, writer):
+            ident = message.headers["x-request-id"]
+            if ident == "held":
+                await go.wait()
+            if ident == "full":
+                writer.write(reply(503, b"", "X-Not-Run: 1"))
+            else:
+                writer.write(reply(500 if ident == "bad" else 200, b"x"))
+
+        go = asyncio.Event()
+        fake = await Fake(act).start()
+        data = config(news(1, entry("s1", fake.address)))
+        async with Sidecar(tmp_path / "c", data) as sidecar, managed(sidecar) as port:
+            assert (await ask(sidecar.port, message("order", "good"))).code == 200
+            assert (await ask(sidecar.port, message("order", "good"))).code == 409
+            assert (await ask(sidecar.port, message("order", "bad"))).code == 502
+            assert (await ask(sidecar.port, message("hold", "full", "300m"))).code == 503
+            held = asyncio.create_task(ask(sidecar.port, message("lookup", "held")))
+            await until(lambda: any(got.headers["x-request-id"] == "held" for got in fake.got))
+            seen = await figures(port)
+            assert seen["app.results.order.succeeded"] == 1
+            assert seen["app.results.order.aborted"] == 2
+            assert seen["app.results.hold.declined"] == 1
+            assert seen["app.results.lookup.succeeded"] == 0
+            assert seen["app.outstanding"] == 1 and seen["app.discovered"] == 1
+            assert seen["app.forwards"] == len(fake.got)
+            go.set()
+            assert (await held).code == 200
+            assert (await figures(port))["app.outstanding"] == 0
+
+    run(play())
+
+
+def test_an_ejected_server_shows(tmp_path):
+    async def play():
+        fake = await Fake(silent).start()
+        entries = [entry(f"s{n}", fake.address) for n in range(3)]
+        async with Sidecar(tmp_path / "c", config(news(1, *entries))) as sidecar, managed(sidecar) as port:
+            assert (await figures(port))["app.ejected"] == 0
+            sidecar.engine.balancer._eject(next(iter(sidecar.engine.balancer.servers.values())))
+            seen = await figures(port)
+            assert seen["app.ejected"] == 1 and seen["app.discovered"] == 3
+
+    run(play())
+
+
+@pytest.mark.parametrize(
+    ("data", "code"),
+    [
+        (call("GET", "/healthcheck"), 200),
+        (call("GET", "/healthcheck?x=1"), 200),
+        (call("GET", "/stat"), 404),
+        (call("POST", "/stats"), 405),
+        (call("GET", "/healthcheck/fail"), 405),
+        (b"noise\r\n\r\n", 400),
+        (b"GET /stats HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
+        (b"GET /stats HTTP/1.1\r\nX-Long: " + b"x" * 9000, 400),
+        (b"POST /healthcheck/ok HTTP/1.1\r\nContent-Length: 2\r\n\r\nok", 200),
+    ],
+)
+def test_each_call_has_one_answer_and_ends(tmp_path, data, code):
+    async def play():
+        async with Sidecar(tmp_path / "c", config(news(1))) as sidecar, managed(sidecar) as port:
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(data)
+            got = await read_message(reader)
+            assert got.code == code and got.headers["connection"] == "close"
+            assert await reader.read() == b""
+            writer.close()
+
+    run(play())
+
+
+def test_silent_callers_are_let_go_and_keep_nobody_out(tmp_path, monkeypatch):
+    monkeypatch.setattr(management, "READ_WITHIN", 30.0)
+
+    async def play():
+        async with Sidecar(tmp_path / "c", config(news(1))) as sidecar, managed(sidecar) as port:
+            callers = [await asyncio.open_connection(HOST, port) for _ in range(management.CALLS_MOST)]
+            callers[0][1].write(b"GET /sta")
+            assert (await ask(port, call("GET", "/healthcheck"))).code == 200
+            assert await callers[0][0].read() == b""  # the oldest made room
+            for _, writer in callers:
+                writer.close()
+
+    run(play())
+
+
+def test_half_a_call_is_told_so_in_time(tmp_path, monkeypatch):
+    monkeypatch.setattr(management, "READ_WITHIN", 0.05)
+
+    async def play():
+        async with Sidecar(tmp_path / "c", config(news(1))) as sidecar, managed(sidecar) as port:
+            assert (await ask(port, b"GET /sta")).code == 408
+            reader, writer = await asyncio.open_connection(HOST, port)
+            assert await reader.read() == b""
+            writer.close()
+
+    run(play())
+
+
+def test_a_drain_empties_the_sidecar_and_can_be_undone(tmp_path, monkeypatch):
+    monkeypatch.setattr(lifecycle, "EMPTY_AFTER", 0.2)
+
+    async def play():
+        async def act(message, reader, writer):
+            if message.headers["x-request-id"] == "held":
+                await go.wait()
+            writer.write(reply(200, b"served"))
+
+        go = asyncio.Event()
+        fake = await Fake(act).start()
+        data = config(news(1, entry("s1", fake.address)))
+        async with Sidecar(tmp_path / "c", data) as sidecar, managed(sidecar) as port:
+            idle_reader, idle_writer = await asyncio.open_connection(HOST, sidecar.port)
+            half_reader, half_writer = await asyncio.open_connection(HOST, sidecar.port)
+            idle_writer.write(message("order", "first"))
+            assert "connection" not in (await read_message(idle_reader)).headers
+            held = asyncio.create_task(ask(sidecar.port, message("order", "held")))
+            whole = message("order", "half", "3000m", b"body")
+            half_writer.write(whole[:30])
+            await until(lambda: any(front.begun for front in sidecar.engine.clients.all))
+            assert (await ask(port, call("POST", "/healthcheck/fail"))).code == 200
+            assert (await ask(port, call("GET", "/healthcheck"))).code == 503
+            assert (await ask(sidecar.port, READY)).code == 503
+            got = await ask(sidecar.port, message("order", "late"))  # within the front's delay
+            assert got.code == 200 and got.headers["connection"] == "close"
+            assert await idle_reader.read() == b""
+            await until(lambda: sidecar.engine.lifecycle.emptying)
+            half_writer.write(whole[30:])  # had begun: answered, not cut
+            assert (await read_message(half_reader)).headers["connection"] == "close"
+            assert (await ask(sidecar.port, message("order", "later"))).code == 503
+            go.set()
+            assert (await held).headers["connection"] == "close"
+            await until(lambda: not sidecar.engine.clients.all)
+            assert (await ask(port, call("POST", "/healthcheck/ok"))).code == 200
+            assert (await ask(sidecar.port, READY)).code == 200
+            got = await ask(sidecar.port, message("order", "again"))
+            assert got.code == 200 and "connection" not in got.headers
+            for writer in (idle_writer, half_writer):
+                writer.close()
+
+    run(play())
+
+
+def test_an_ending_process_cannot_be_called_back(tmp_path):
+    async def play():
+        async with Sidecar(tmp_path / "c", config(news(1))) as sidecar, managed(sidecar) as port:
+            sidecar.engine.lifecycle.terminate()
+            for path in ("/healthcheck/ok", "/healthcheck/fail"):
+                assert (await ask(port, call("POST", path))).code == 503
+            assert (await ask(port, call("GET", "/healthcheck"))).code == 503
+
+    run(play())
+
+
+def test_a_request_that_the_system_still_holds_keeps_its_connection(tmp_path):
+    """Guards against a close that crosses a request."""
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            await until(lambda: sidecar.engine.clients.all)
+            (front,) = sidecar.engine.clients.all
+            assert front.quiet
+            front.transport.pause_reading()
+            writer.write(message("order", "unread"))
+            await until(lambda: not front.quiet)
+            sidecar.engine.clients.close_quiet()
+            front.transport.resume_reading()
+            assert (await read_message(reader)).code == 200
+            writer.close()
+
+    run(play())
--- a/tests/test_net_front.py
+++ b/tests/test_net_front.py
@@ -236,8 +236,8 @@
                 await loop.sock_sendall(sock, message("lookup", f"id{sent}"))
                 sent += 1
                 await until(lambda: len(fake.got) == sent and client.current is None)  # noqa: B023
-            sidecar.engine.draining = True
-            sidecar.engine._stop_taking()
+            sidecar.engine.lifecycle.terminate()
+            sidecar.engine.lifecycle._stop_accepting()
             got = bytearray()
             while data := await loop.sock_recv(sock, 65536):
                 got += data
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -6,6 +6,7 @@
 import re
 import resource
 import signal
+import socket
 import subprocess
 import sys
 import tomllib
@@ -37,29 +38,37 @@
 class Process:
     """The real program, with the port that it says it listens at."""
 
-    def __init__(self, path, data, descriptors=None):
+    def __init__(self, path, data, descriptors=None, inherited=None):
         path.write_text(json.dumps(data))
         self.path = path
         self.descriptors = descriptors
+        self.inherited = inherited
         self.port = 0
+        self.operators = 0
 
     def _limit(self):
         if self.descriptors is not None:
             resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
 
+    def _handed_over(self):
+        return {"GW_FD": str(self.inherited.fileno())} if self.inherited else {}
+
     async def __aenter__(self):
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "dykefold",
             cwd=ROOT,
-            env={**os.environ, "GW_CONFIG": str(self.path)},
+            env={**os.environ, "GW_CONFIG": str(self.path), **self._handed_over()},
             stderr=asyncio.subprocess.PIPE,
             preexec_fn=self._limit,
+            pass_fds=[self.inherited.fileno()] if self.inherited else [],
         )
         while not self.port:
             line = await self.process.stderr.readline()
             assert line, "it ended before it listened"
+            if match := re.search(rb"heard at 127\.0\.0\.1:(\d+)", line):
+                self.operators = int(match[1])
             if match := re.search(rb"listens at 127\.0\.0\.1:(\d+)", line):
                 self.port = int(match[1])
         self.log = asyncio.create_task(self.process.stderr.read())
@@ -279,3 +288,61 @@
             assert log.count(b"stays as it was") in (0, 1) and log.count(b"discovery is now at") == 1
 
     run(play())
+
+
+def test_the_listening_socket_is_taken_over_and_outlives_its_processes(tmp_path):
+    """Two processes on the platform's socket: the old one ends, and no connection is refused."""
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        listening = socket.create_server((HOST, 0))
+        port = listening.getsockname()[1]
+        data = config(news(1, entry("s1", fake.address)))
+        async with (
+            Process(tmp_path / "a", data, inherited=listening) as old,
+            Process(tmp_path / "b", data, inherited=listening) as new,
+        ):
+            assert old.port == new.port == port
+            old.process.send_signal(signal.SIGTERM)
+            for n in range(100):
+                assert (await ask(port, message("order", f"id{n}"))).code == 200
+            assert await old.process.wait() == 0
+            assert (await ask(port, message("order", "after"))).code == 200
+            new.process.kill()
+            await new.process.wait()
+            waits = asyncio.create_task(ask(port, message("order", "between")))  # in the backlog
+            async with Process(tmp_path / "c", data, inherited=listening):
+                assert (await waits).code == 200
+        listening.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize("text", ["x", "99", "0"])
+def test_a_descriptor_that_cannot_be_listened_at_is_one_line_and_a_failure(tmp_path, text):
+    path = tmp_path / "c"
+    path.write_text(json.dumps(config(news(1))))
+    done = subprocess.run(
+        [sys.executable, "-m", "dykefold"],
+        cwd=ROOT,
+        env={**os.environ, "GW_CONFIG": str(path), "GW_FD": text},
+        stdin=subprocess.DEVNULL,
+        capture_output=True,
+        text=True,
+        timeout=20,
+    )
+    assert done.returncode == 1
+    assert done.stderr.startswith("dykefold: GW_FD") and done.stderr.count("\n") == 1
+
+
+def test_operators_are_heard_at_their_own_address(tmp_path):
+    async def play():
+        data = config(news(1), management=f"{HOST}:0")
+        async with Process(tmp_path / "c", data) as sidecar:
+            assert (await ask(sidecar.operators, b"GET /healthcheck HTTP/1.1\r\n\r\n")).code == 200
+            assert (
+                b"app.results.order.succeeded=0"
+                in (await ask(sidecar.operators, b"GET /stats HTTP/1.1\r\n\r\n")).body.splitlines()
+            )
+
+    run(play())
