Let bodies and answers over 64 KiB flow through in both directions with backpressure

Design: a Body is held up to 64 KiB and flows into its one attempt beyond that; the client is read no further than the server takes. An answer that is long, or in chunks, goes on from its first bytes (StreamStarted, which now closes the books on latency); its end only says how it ended, and a broken tail resets the client. Slowness is judged by progress: a body below 32 kB/s, or a peer that takes nothing, is given up. Short answers are still held, so that a spoilt one stays a failed attempt that nobody saw.

Way not taken: spooling long bodies to $TMPDIR, which would keep them repeatable. $TMPDIR counts as memory, and 32 MB many at a time do not fit in 80 MB. Passing on short answers early as well was left: they are timed by their last byte, and a spoilt one could no longer be told from a good one.

When the first try broke a rule (a body shorter than its client's), a trace of the flowing bodies showed `Content-Length` read as 0: white space behind the value. Ruled out by a replay of 450 uploads in all framings and piece sizes: the flow itself. Values are now read without that white space.

--- a/dykefold/interface.py
+++ b/dykefold/interface.py
@@ -141,6 +141,22 @@
     cost_ns: int = 0  # expected work; 0: not told
     is_retry: bool = False
     is_write: bool = False
+    uploading: bool = False  # its body is still coming: its deadline is set anew by `Uploaded`
+
+
+@dataclass(slots=True)
+class Spent:
+    """The body is not held whole any more: no further attempt could bring it."""
+
+    id: int
+
+
+@dataclass(slots=True)
+class Uploaded:
+    """The last byte of a body that was still coming has been written: its attempt begins now."""
+
+    id: int
+    deadline_ns: int
 
 
 @dataclass(slots=True)
@@ -156,6 +172,8 @@
 
 @dataclass(slots=True)
 class StreamStarted:
+    """The answer has begun to reach the client: its outcome will only tell how it ended."""
+
     id: int
     attempt: int
     server: int
@@ -254,5 +272,16 @@
     text: str
 
 
-Event = Membership | Request | Outcome | StreamStarted | Dropped | ProbeResult | PeerMessage | Timer
+Event = (
+    Membership
+    | Request
+    | Spent
+    | Uploaded
+    | Outcome
+    | StreamStarted
+    | Dropped
+    | ProbeResult
+    | PeerMessage
+    | Timer
+)
 Action = Send | Refuse | Fail | Cancel | Probe | CloseIdle | Tell | Watch | Fetch | SetTimer | Log
--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -34,11 +34,13 @@
     Send,
     SetTimer,
     Settings,
+    Spent,
     State,
     Status,
     StreamStarted,
     Tell,
     Timer,
+    Uploaded,
     Watch,
 )
 
@@ -236,6 +238,8 @@
         self.charged = False  # the next repeat has been paid for
         self.planned = False  # a repeat waits in the timer heap
         self.streaming = False
+        self.uploading = request.uploading  # its body still comes: no server works on it yet
+        self.spent = False  # its body can't be brought again
         self.asked: list[Server] = []  # candidates whose load is being asked for
         self.asked_at = 0
 
@@ -321,6 +325,8 @@
             PeerMessage: self._on_peer,
             ProbeResult: self._on_probe,
             StreamStarted: self._on_stream,
+            Spent: self._on_spent,
+            Uploaded: self._on_uploaded,
         }
 
     def handle(self, now_ns: int, event: Event) -> list[Action]:
@@ -421,6 +427,10 @@
         req = self.open.get(event.id)
         if req is None:
             return
+        if server and req.uploading:
+            self._learn(server, self.now, req.cls, event, False)  # it failed before its body was through
+        elif server and req.streaming and event.status is Status.RESET:
+            self._strike(server, 1.0, EJECT_SHARE)  # it began to answer, and broke
         if event.attempt < len(req.attempts):
             proven = event.status in PROVES_NOT_RUN
             req.attempts[event.attempt][2] = NEVER_RAN if proven else MAY_HAVE_RUN
@@ -438,13 +448,38 @@
             self._forget(req)
 
     def _on_stream(self, event: StreamStarted) -> None:
+        """An answer has begun: what its server needed for it is known, the rest is the client's pace."""
         req = self.open.get(event.id)
+        if req is None:
+            return
+        req.streaming = True  # nothing more may be sent for it
+        begun = Outcome(event.id, event.attempt, event.server, Status.OK, event.duration_ns, False)
         server = self.servers.get(event.server)
-        if server is not None:
-            server.last_ok = self.now
+        key = (event.id, event.attempt)
+        if server is not None and key in server.out:
+            sent, cls = server.out.pop(key)
+            lost = key in server.lost
+            server.lost.discard(key)
+            if not lost and not server.ejected:
+                self.inflight -= 1
+            self._learn(server, sent, cls, begun, lost)
+        self._cancel_others(req, event.attempt)
+
+    def _on_spent(self, event: Spent) -> None:
+        req = self.open.get(event.id)
         if req is not None:
-            req.streaming = True  # the answer has begun: nothing more may be sent for it
-            self._cancel_others(req, event.attempt)
+            req.spent = True
+
+    def _on_uploaded(self, event: Uploaded) -> None:
+        """From here on the attempt is like any other: its server has all of it."""
+        req = self.open.get(event.id)
+        if req is None or not req.uploading:
+            return
+        req.uploading = False
+        req.deadline = event.deadline_ns
+        attempt = req.attempts[-1]
+        attempt[1] = self.now
+        self._count_out(req, attempt[0], len(req.attempts) - 1)
 
     def _on_peer(self, event: PeerMessage) -> None:
         """A peer's rates by tenant; anything of another length is not ours and skipped."""
@@ -635,7 +670,7 @@
 
     def _may_send(self, req: Open, server: Server) -> bool:
         """Whether this request may be sent to this server now, by the rules and by pace."""
-        if not server.ready or not server.listed or req.streaming:
+        if not server.ready or not server.listed or req.streaming or req.spent:
             return False
         attempts = req.attempts
         if len(attempts) >= self.settings.max_attempts:
@@ -665,21 +700,24 @@
         return req.never_ran()
 
     def _send(self, req: Open, server: Server) -> None:
-        now = self.now
-        left = req.deadline - now
         number = len(req.attempts)
-        req.attempts.append([server, now, OUT])
+        req.attempts.append([server, self.now, OUT])
         req.charged = False
-        overdue = self._overdue_after(server, req.cls, left)
-        server.out[(req.id, number)] = (now, req.cls)
         if server.ejected:
             server.trial_out = True
-        else:
-            self.inflight += 1
         self._cold_allows(server, req.cls, True)
         # No time-out of its own: an overdue attempt is judged by what its server did meanwhile.
         self.actions.append(Send(req.id, server.id))
-        self._at(now + overdue, OVERDUE, req.id, number)
+        if not req.uploading:  # else its server has no work with it before the body is through
+            self._count_out(req, server, number)
+
+    def _count_out(self, req: Open, server: Server, number: int) -> None:
+        """Its server has the whole of an attempt: it is in flight from now on."""
+        overdue = self._overdue_after(server, req.cls, req.deadline - self.now)
+        server.out[(req.id, number)] = (self.now, req.cls)
+        if not server.ejected:
+            self.inflight += 1
+        self._at(self.now + overdue, OVERDUE, req.id, number)
 
     def _count_answer(self) -> None:
         tau = self.settings.overload_for_ns
@@ -717,7 +755,7 @@
 
     def _any_left(self, req: Open) -> bool:
         """Whether the rules allow any further attempt at all, wherever it went."""
-        if len(req.attempts) >= self.settings.max_attempts:
+        if len(req.attempts) >= self.settings.max_attempts or req.spent:
             return False
         if req.spec.effect is not Effect.UNSAFE:
             return True
--- a/dykefold/net/clients.py
+++ b/dykefold/net/clients.py
@@ -11,7 +11,8 @@
 if TYPE_CHECKING:
     from .front import Front
 
-START_MOST = 2.0  # seconds from connecting, or from a message's first byte, until its last has come
+HEAD_MOST = 2.6  # seconds from connecting, or from a message's first byte, until its head has come
+BODY_RATE_LEAST = 32_000  # bytes of a body a second, looked at as seldom: clients may send 64 kB a second
 IDLE_MOST = 2.0  # seconds that a connection is kept with no request open
 FEW = 0.25  # of the clients' share: when more than that are silent, it is no burst of the usual ones
 YOUNG = 0.02  # seconds in which a new connection's first request may well be on its way
@@ -53,6 +54,9 @@
         if front not in self.all:
             return
         if front.begun:
+            if front.head_ended:
+                front.head_ended = False
+                self.waited.pop(front, None)  # a body has a time of its own
             self.waited.setdefault(front, monotonic())
         elif front.asked:
             self.waited.pop(front, None)
@@ -70,11 +74,14 @@
     def sweep(self) -> None:
         """Guards descriptors and memory against clients that never end a message or never come back."""
         now = monotonic()
-        for front in _since(self.waited, now - START_MOST):
-            del self.waited[front]
-            if front.paused:
-                self.waited[front] = now  # it is not being read: its end may have come long ago
+        for front in _since(self.waited, now - HEAD_MOST):
+            came = front.came_since_look()
+            # What is not being read may have come long ago.
+            if front.paused or came is None or came >= BODY_RATE_LEAST * (now - self.waited[front]):
+                del self.waited[front]
+                self.waited[front] = now
             else:
+                del self.waited[front]
                 front.expire()
         for front in _since(self.idle, now - IDLE_MOST):
             if front.quiet:
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -7,6 +7,7 @@
 import math
 from collections import deque
 from dataclasses import dataclass
+from functools import partial
 from time import monotonic, monotonic_ns, time_ns
 
 from .. import interface as api
@@ -14,9 +15,10 @@
 from ..logic import Balancer
 from ..settings import Transport
 from ..stats import Gauges, Stats, render
+from .body import HOLD_MOST, Body
 from .clients import Clients
 from .discovery import Discovery, Listed, Names, News
-from .front import BODY_MOST, Call, Front, Grammar
+from .front import Call, Front, Grammar
 from .lifecycle import Lifecycle
 from .limits import Descriptors, Memory
 from .peers import Address, Peers
@@ -30,7 +32,7 @@
 ATTEMPT_MARGIN_NS = 15 * MS  # before the client's deadline the last attempt is given up
 GUARD_MARGIN_NS = 8 * MS  # ... and a request that then still has no answer gets one
 PROBE_TIMEOUT = 0.4  # seconds
-SWEEP_EVERY = 0.25
+SWEEP_EVERY = 0.1
 IDS_KEPT = 4.0  # seconds, and ...
 IDS_MOST = 8192  # ... so many ids of requests that are over can't be used again
 
@@ -50,7 +52,8 @@
     request: int
     number: int
     server: int
-    sent_ns: int
+    sent_ns: int  # when it began: for a body that was still coming, when that was through
+    answered_ns: int = 0  # when its answer began to go on to the client
     exchange: Exchange | None = None
 
 
@@ -65,6 +68,27 @@
     attempts: int = 0
     may_have_run: bool = False  # some attempt has ended without a proof that it did not
     owed: bool = True  # its final answer
+    uploading: bool = False  # the module was told that its body is still coming
+    relaying: Attempt | None = None  # whose answer is on its way to the client already
+
+
+class AnswerRelay:
+    """Takes the answer to one attempt as it comes."""
+
+    def __init__(self, engine: Engine, held: Held, attempt: Attempt) -> None:
+        self.engine = engine
+        self.held = held
+        self.attempt = attempt
+
+    def begin(self, answer: Answer, length: int | None) -> bool:
+        return self.engine.begin_answer(self.held, self.attempt, answer, length)
+
+    def part(self, data: bytes) -> None:
+        self.held.front.answer_part(self.held.call, data)
+
+
+def _lines(answer: Answer) -> bytes:
+    return b"".join(b"%s: %s\r\n" % header for header in answer.headers)
 
 
 class Engine:
@@ -201,9 +225,11 @@
         if len(self.held) > self.max_open:
             self._finish(held, 503, b"", b"too many open requests\n")
             return
-        now = self.now()
-        left = max(call.deadline_ns - GUARD_MARGIN_NS - now, 0)
-        held.timer = self.loop.call_later(left / SECOND, self._guard, held)
+        held.uploading = not call.body.complete
+        if held.uploading:
+            call.body.on_spent = partial(self.post, api.Spent(held.id))
+        else:
+            self._set_guard(held)
         self.post(
             api.Request(
                 held.id,
@@ -214,17 +240,51 @@
                 call.cost_ns,
                 call.is_retry,
                 call.method == b"POST",
+                held.uploading,
             )
         )
 
+    def body_ended(self, call: Call) -> None:
+        """The last byte of a request that was taken before has come: its time runs from now."""
+        held = self.held.get(call.ticket)
+        if held is None:
+            return
+        self._set_guard(held)
+        left = call.deadline_ns - ATTEMPT_MARGIN_NS - self.now()
+        for attempt in self._out(held):
+            if attempt.exchange is not None and held.relaying is not attempt:
+                attempt.exchange.wait(self.loop, left / SECOND)
+
+    def body_broken(self, call: Call, code: int, text: str) -> None:
+        """A request that was taken before its body had come will never be whole: it can't have run."""
+        held = self.held.get(call.ticket)
+        if held is None:
+            return
+        if held.relaying is None:
+            self._finish(held, code, b"", f"{text}\n".encode())
+        self._abandon(held)
+        self.post(api.Dropped(held.id))
+
+    def _set_guard(self, held: Held) -> None:
+        left = max(held.call.deadline_ns - GUARD_MARGIN_NS - self.now(), 0)
+        held.timer = self.loop.call_later(left / SECOND, self._guard, held)
+
+    def _out(self, held: Held) -> list[Attempt]:
+        """Its attempts that have no end yet."""
+        numbers = range(held.attempts)
+        return [self.attempts[held.id, n] for n in numbers if (held.id, n) in self.attempts]
+
+    def _abandon(self, held: Held) -> None:
+        """Give up what is out for a request whose client or body is gone."""
+        for attempt in self._out(held):
+            if attempt.exchange is not None and (held.uploading or held.relaying is attempt):
+                attempt.exchange.give_up(Status.CANCELLED)
+
     def _guard(self, held: Held) -> None:
         """Time is up: whatever the module still plans, the client gets its answer now."""
-        if not held.owed:
+        if not held.owed or held.relaying is not None:
             return
-        for number in range(held.attempts):
-            attempt = self.attempts.get((held.id, number))
-            if attempt is None:
-                continue
+        for attempt in self._out(held):
             if attempt.exchange is not None:
                 attempt.exchange.give_up(Status.TIMEOUT)
             else:  # it failed while it was being made, with nothing written
@@ -267,7 +327,9 @@
         attempt = Attempt(held.id, held.attempts, action.server, now)
         held.attempts += 1
         self.attempts[held.id, attempt.number] = attempt
-        last = held.call.deadline_ns - ATTEMPT_MARGIN_NS - now
+        call = held.call
+        flowing = not call.body.complete
+        last = call.wait_ns if flowing else call.deadline_ns - ATTEMPT_MARGIN_NS - now
         wait = min(action.timeout_ns, last) if action.timeout_ns > 0 else last
         if held.attempts > self.settings.max_attempts or wait <= 0:
             self._end_attempt(held, attempt, Status.MOOT, None)
@@ -276,21 +338,46 @@
         def done(_: Exchange, status: Status, answer: Answer | None) -> None:
             self._end_attempt(held, attempt, status, answer)
 
-        attempt.exchange = Exchange(self._payload(held.call, wait), done, BODY_MOST, self.stats.forwarded)
-        self.upstreams.start(action.server, attempt.exchange, wait / SECOND)
+        def written() -> None:
+            self.stats.forwarded()
+            if held.uploading:
+                held.uploading = False
+                attempt.sent_ns = self.now()
+                self.post(api.Uploaded(held.id, call.deadline_ns))
+
+        payload = self._payload(call, wait)
+        body: Body | None = call.body
+        if call.method != b"POST" and call.body.complete and not call.body.size:
+            payload, body = payload + b"\r\n", None
+        relay = AnswerRelay(self, held, attempt)
+        attempt.exchange = Exchange(payload, done, HOLD_MOST, written, body, relay)
+        self.upstreams.start(action.server, attempt.exchange, None if flowing else wait / SECOND)
 
     @staticmethod
     def _payload(call: Call, wait: int) -> bytes:
-        length = b"Content-Length: %d\r\n" % len(call.body) if call.body or call.method == b"POST" else b""
-        return b"%s %s HTTP/1.1\r\n%sX-Deadline: %dm\r\n%s\r\n%s" % (
+        """The head, without its end: only at the time of writing it is known how the body is framed."""
+        return b"%s %s HTTP/1.1\r\n%sX-Deadline: %dm\r\n" % (
             call.method,
             call.target,
             b"".join(call.headers),
             max(wait // MS, 1),
-            length,
-            call.body,
         )
 
+    def begin_answer(self, held: Held, attempt: Attempt, answer: Answer, length: int | None) -> bool:
+        """An answer begins to reach the client; from here on it has no deadline, only a pace."""
+        if not held.owed or held.relaying is not None or attempt.exchange is None:
+            return False
+        held.relaying = attempt
+        held.may_have_run = True
+        if held.timer is not None:
+            held.timer.cancel()
+        attempt.exchange.wait_no_more()
+        attempt.answered_ns = self.now()
+        held.front.begin_answer(held.call, 200, _lines(answer), length, attempt.exchange.pause)
+        took = attempt.answered_ns - attempt.sent_ns
+        self.post(api.StreamStarted(held.id, attempt.number, attempt.server, took))
+        return True
+
     def _end_attempt(self, held: Held, attempt: Attempt, status: Status, answer: Answer | None) -> None:
         """An attempt has ended: a whole 200 reaches the client, the module hears of all."""
         self.attempts.pop((held.id, attempt.number), None)
@@ -300,10 +387,12 @@
         if answer is not None:
             if answer.load and self.reports.columns:
                 report = self.reports.read(answer.load)
-            if status is Status.OK and held.owed:
-                lines = b"".join(b"%s: %s\r\n" % header for header in answer.headers)
-                self._finish(held, 200, lines, answer.body)
-        took = self.now() - attempt.sent_ns
+            if status is Status.OK and held.owed and held.relaying is None:
+                self._finish(held, 200, _lines(answer), answer.body)
+        if held.relaying is attempt and held.owed:
+            self._settle(held)
+            held.front.end_answer(held.call, whole=status is Status.OK)
+        took = (attempt.answered_ns or self.now()) - attempt.sent_ns
         self.post(api.Outcome(held.id, attempt.number, attempt.server, status, took, not held.owed, report))
 
     def _cancel(self, action: api.Cancel) -> None:
@@ -321,7 +410,7 @@
             self.post(api.ProbeResult(server, status, self.now() - started, report))
 
         payload = b"GET %s HTTP/1.1\r\nHost: probe\r\n\r\n" % self.probe_path
-        self.upstreams.start(server, Exchange(payload, done, BODY_MOST), PROBE_TIMEOUT)
+        self.upstreams.start(server, Exchange(payload, done, HOLD_MOST), PROBE_TIMEOUT)
 
     # The list of servers
 
@@ -375,6 +464,7 @@
         held = self.held.get(call.ticket) if call is not None else None
         if held is not None:
             self._settle(held)
+            self._abandon(held)
             self.post(api.Dropped(held.id))
         self.lifecycle.client_left()
 
--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import re
-import termios
+import socket
+import struct
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
-from fcntl import ioctl
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
@@ -15,16 +16,18 @@
 
 from ..interface import Effect, Settings
 from ..stats import Disposition
+from .body import HOLD_MOST, Body
+from .progress import Patience, unread
 from .upstream import HOP_BY_HOP
 
 if TYPE_CHECKING:
     from .engine import Engine
 
-BODY_MOST = 64 * 1024
+BODY_MOST = 40 * 1024 * 1024  # messages reach 32 MB
 HEADERS_MOST = 32 * 1024
-MESSAGE_MOST = 8 * BODY_MOST  # with the framing of many small chunks
+FRAMING_MOST = 8  # bytes on the socket for each one of a body, in the smallest of chunks
 WAITING_MOST = 16  # requests that a client may send ahead of their answers before it is read no further
-SLOW_READER = 5.0  # seconds that a client may leave an answer unread
+SLOW_READER = 5.0  # seconds in which a client may take nothing of an answer
 LINGER = 2.0  # seconds in which a rejected client may still send, unheard, and read why
 DEADLINE = re.compile(rb"(\d{1,12}(?:\.\d{1,9})?)([mu])")
 DEADLINE_UNITS = {b"m": 1_000_000, b"u": 1_000}
@@ -69,18 +72,30 @@
     method: bytes
     target: bytes
     headers: list[bytes]  # whole lines, as they go on
-    body: bytes
+    body: Body
     cls: int
     tenant: int
     key: int
-    deadline_ns: int  # on the clock
+    wait_ns: int  # how long its client waits, from its last byte
+    deadline_ns: int  # on the clock; while its body is coming, as if that were through
     cost_ns: int
     is_retry: bool
     keep_alive: bool
-    size: int = 0  # of what is held of it
+    size: int = 0  # of what is held of it beside the body
+    old: bool = False  # HTTP/1.0: knows no chunks
     ticket: int = 0  # the engine's number for it
 
 
+@dataclass(slots=True)
+class Passing:
+    """An answer on its way to the client while it comes."""
+
+    chunked: bool
+    keep_alive: bool
+    by_end: bool  # only the connection's end delimits it
+    pause: Callable[[bool], None]  # tells its source to hold back
+
+
 @dataclass(slots=True)
 class Ready:
     """A question whether this sidecar takes requests."""
@@ -102,6 +117,15 @@
     return Disposition.DECLINED if code in (429, 503) else Disposition.ABORTED
 
 
+def _head(code: int, headers: bytes, keep_alive: bool) -> bytes:
+    return b"HTTP/1.1 %d %s\r\n%s%s\r\n" % (
+        code,
+        REASONS.get(code, b"Unknown"),
+        headers,
+        b"" if keep_alive else b"Connection: close\r\n",
+    )
+
+
 class Grammar:
     """What the settings say of requests: which classes and tenants there are."""
 
@@ -117,7 +141,7 @@
         target: bytes,
         headers: dict[bytes, bytes],
         lines: list[bytes],
-        body: bytes,
+        body: Body,
         keep_alive: bool,
     ) -> Call:
         path = target
@@ -132,13 +156,13 @@
             raise RequestError(404, "unknown class")
         spec = self.specs[cls]
         if method != (b"GET" if spec.effect is Effect.SAFE else b"POST"):
-            raise RequestError(405, "the method is not that of the class")
+            raise RequestError(405, "the method is not that of the class", cls)
         ident = headers.get(b"x-request-id")
         if not ident:
-            raise RequestError(400, "X-Request-Id is missing")
+            raise RequestError(400, "X-Request-Id is missing", cls)
         # Guards the rule on effects: without the key no server could drop a repeat.
         if spec.effect is Effect.KEYED and not headers.get(b"idempotency-key"):
-            raise RequestError(400, "Idempotency-Key is missing")
+            raise RequestError(400, "Idempotency-Key is missing", cls)
         wait = spec.deadline_ns
         if (value := headers.get(b"x-deadline")) is not None:
             # The class's deadline covers all tries; a client that states more does not wait for it.
@@ -165,6 +189,7 @@
             cls,
             tenant,
             key,
+            wait,
             now + wait,
             cost,
             headers.get(b"x-retry") == b"1",
@@ -181,12 +206,19 @@
         self.transport: asyncio.Transport | None = None
         self.waiting: deque[Call | Ready | RequestError] = deque()
         self.current: Call | None = None
+        self.flowing: Call | None = None  # taken up before its body had come
+        self.passing: Passing | None = None
+        self.ending = False  # closes when the message that is still coming is through
         self.pumping = False
         self.deaf = False  # nothing more is read: what follows an error cannot be told apart
         self.closed = False
-        self.paused = False  # no more is read until some of what waits is answered
+        self.paused = False  # no more is read until some of what waits goes on
+        self.was_paused = False  # since `Clients` last looked
         self.unread = False  # the client leaves answers unread
-        self.slow: asyncio.TimerHandle | None = None
+        self.slow: Patience | None = None
+        self.linger: asyncio.TimerHandle | None = None
+        self.head_ended = False  # since `Clients` last looked
+        self.looked_at = 0  # size of the body when `Clients` last looked
         self.asked = False  # whether it has ever sent a whole message
         self.held_size = 0
         self._begin()
@@ -197,11 +229,15 @@
         self.target = b""
         self.headers: dict[bytes, bytes] = {}
         self.lines: list[bytes] = []
-        self.body: list[bytes] = []
+        self.body: Body | None = None  # from the end of the headers on
         self.size = 0  # of all that came of this message
         self.header_size = 0
-        self.message_size = 0  # of what is held of it
-        self.in_body = False
+        self.message_size = 0  # of what is held of its headers
+        self.skipping = False  # answered already: the rest is read and thrown away
+
+    @property
+    def in_body(self) -> bool:
+        return self.body is not None
 
     @property
     def idle(self) -> bool:
@@ -213,8 +249,14 @@
         """Whether nothing has begun either, not even in what the system holds unread."""
         if not self.idle or self.begun or self.closed or self.transport is None:
             return False
-        fd = self.transport.get_extra_info("socket").fileno()
-        return fd < 0 or ioctl(fd, termios.FIONREAD, b"\0\0\0\0") == b"\0\0\0\0"
+        return unread(self.transport) == 0
+
+    def came_since_look(self) -> int | None:
+        """Bytes of the body that is coming; None if some of the time nothing was read."""
+        size = self.body.size if self.body is not None else 0
+        came, self.looked_at = size - self.looked_at, size
+        paused, self.was_paused = self.was_paused, False
+        return None if paused else came
 
     # The transport's calls
 
@@ -237,7 +279,7 @@
         except httptools.HttpParserError:
             self._reject(400, "malformed request")
         # Guards the memory: the parser itself holds a header line of any length.
-        if self.size > (MESSAGE_MOST if self.in_body else HEADERS_MOST):
+        if self.size > (BODY_MOST * FRAMING_MOST if self.in_body else HEADERS_MOST):
             self._reject(431, "headers are too long")
         self._pump()
         self.engine.clients.place(self)
@@ -247,7 +289,7 @@
         if self.begun:
             self._reject(408, "the request took too long to come")
             self._pump()
-        elif self.idle:
+        elif self.quiet:
             self.close()
 
     def eof_received(self) -> None:
@@ -256,11 +298,17 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
         if self.slow is not None:
-            self.slow.cancel()
+            self.slow.stop()
+        if self.linger is not None:
+            self.linger.cancel()
         self.engine.memory.release(self.held_size)
         self.held_size = 0
         call, self.current = self.current, None
+        for body in (self.body, *(item.body for item in (call, *self.waiting) if isinstance(item, Call))):
+            if body is not None:
+                body.drop()
         self.waiting.clear()
+        self.flowing = self.passing = self.body = None
         # Guards the memory: the two refer to each other, and a day of ever new connections would leave
         # them all to the collector, which comes seldom.
         del self.parser
@@ -269,14 +317,20 @@
     def pause_writing(self) -> None:
         # Guards the memory against clients that ask and do not read.
         self.unread = True
-        self.slow = self.slow or self.engine.loop.call_later(SLOW_READER, self.close)
+        if self.slow is None and self.transport is not None:
+            self.slow = Patience(self.engine.loop, self.transport, SLOW_READER, self.close)
+        if self.passing is not None:
+            self.passing.pause(True)
 
     def resume_writing(self) -> None:
         self.unread = False
         if self.slow is not None:
-            self.slow.cancel()
+            self.slow.stop()
             self.slow = None
+        if self.passing is not None:
+            self.passing.pause(False)
         self._pump()
+        self.engine.clients.place(self)
         if self.engine.lifecycle.emptying and self.quiet:
             self.close()
 
@@ -292,7 +346,7 @@
         if self.in_body:  # a trailer
             return
         self.header_size += len(name) + len(value) + len(b": \r\n")
-        low = name.lower()
+        low, value = name.lower(), value.strip(b" \t")  # white space round a value is not part of it
         if low in SINGLE and low in self.headers:
             self.doubled = True
         self.headers[low] = value
@@ -300,13 +354,21 @@
             self.lines.append(name + b": " + value + b"\r\n")
 
     def on_headers_complete(self) -> None:
-        self.in_body = True
-        length = self.headers.get(b"content-length", b"")
+        length = self.headers.get(b"content-length")
+        chunked = b"transfer-encoding" in self.headers
+        stated = int(length[:12]) if length is not None and length.isdigit() else 0
+        if length is not None and not length.isdigit():
+            self._reject(400, "Content-Length is no number")
+            return
+        self.body = Body(self.engine.memory, None if chunked else stated)
+        self.body.changed = self._update_reading
+        self.head_ended = True
+        self.looked_at = 0
         if self.header_size + len(self.target) > HEADERS_MOST:
             self._reject(431, "headers are too long")
         elif self.headers.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
             self._reject(501, "Transfer-Encoding must be chunked")
-        elif length.isdigit() and int(length[:12]) > BODY_MOST:
+        elif stated > BODY_MOST:
             self._reject(413, "the body is too large")
         elif not self._hold(self.header_size):
             self._reject(503, "too much is held")
@@ -314,14 +376,14 @@
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
-        if self.deaf:
+        if self.deaf or self.skipping or self.body is None:
             return
-        if sum(map(len, self.body)) + len(data) > BODY_MOST:
+        if self.body.size + len(data) > BODY_MOST:
             self._reject(413, "the body is too large")
-        elif not self._hold(len(data)):
+        elif not self.body.add(data):
             self._reject(503, "too much is held")
-        else:
-            self.body.append(data)
+        elif self.flowing is None and len(self.body.held) > HOLD_MOST:
+            self._take_up()  # too long to be held whole: it goes on while it comes
 
     def _hold(self, size: int) -> bool:
         if not self.engine.memory.reserve(size):
@@ -331,40 +393,72 @@
         return True
 
     def on_message_complete(self) -> None:
-        if self.deaf:
+        if self.deaf or self.body is None:
             return
         if self.parser.should_upgrade():
             self._reject(400, "upgrades are not known here")
             return
         self.asked = True
+        call = self.flowing
+        if call is not None:
+            self.flowing = None
+            call.deadline_ns = self.engine.now() + call.wait_ns
+            self.body.end()
+            self.engine.body_ended(call)
+        elif not self.skipping:
+            self.body.end()
+            self._take_up()
+        self._begin()
+        if self.ending:
+            self._leave()
+        self._update_reading()
+
+    def _take_up(self) -> None:
+        """Queue the message that has come, or whose body is still coming."""
+        assert self.body is not None
         keep_alive = self.parser.should_keep_alive()
+        item: Call | Ready | RequestError
         if self.target == READY_TARGET:
-            self.waiting.append(Ready(keep_alive))
-            self._release(self.message_size)
+            item = Ready(keep_alive)
         else:
             try:
                 if self.doubled:
                     raise RequestError(400, "a header came twice")
-                call = self.engine.grammar.read(
+                item = self.engine.grammar.read(
                     self.engine.now(),
                     self.parser.get_method(),
                     self.target,
                     self.headers,
                     self.lines,
-                    b"".join(self.body),
+                    self.body,
                     keep_alive,
                 )
-                call.size = self.message_size
-                self.waiting.append(call)
+                item.size = self.message_size
+                item.old = self.parser.get_http_version() == "1.0"
             except RequestError as problem:
                 problem.keep_alive = keep_alive
-                self.waiting.append(problem)
-                self._release(self.message_size)
-        self._begin()
-
-        if len(self.waiting) >= WAITING_MOST and self.transport is not None and not self.paused:
-            self.paused = True
+                item = problem
+        self.waiting.append(item)
+        if not isinstance(item, Call):
+            self._release(self.message_size)
+            self.skipping = True
+            self.body.drop()
+        elif not self.body.complete:
+            self.flowing = item
+
+    def _update_reading(self) -> None:
+        """Read on only while what is read can be taken up: backpressure towards the client."""
+        if self.transport is None or self.transport.is_closing() or self.deaf:
+            return
+        stop = len(self.waiting) >= WAITING_MOST or (self.body is not None and self.body.stopped)
+        if stop == self.paused:
+            return
+        self.paused = stop
+        if stop:
+            self.was_paused = True
             self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
 
     def _release(self, size: int) -> None:
         self.engine.memory.release(size)
@@ -374,12 +468,24 @@
 
     def _reject(self, code: int, text: str) -> None:
         """Answer what was sent before it, then this, and close: where a next request begins is not known."""
-        if not self.deaf:
-            self.deaf = True
-            self.begun = False
+        if self.deaf:
+            return
+        self.deaf = True
+        self.begun = False
+        call, self.flowing = self.flowing, None
+        if self.body is not None:
+            self.body.drop()
+        if call is None and not self.skipping:
             self._release(self.message_size)
-            self.body.clear()
             self.waiting.append(RequestError(code, text))
+        elif call is not None and call is self.current:
+            call.keep_alive = False
+            self.engine.body_broken(call, code, text)
+        elif call in self.waiting:
+            self._release(call.size)
+            self.waiting[self.waiting.index(call)] = RequestError(code, text, call.cls)
+        elif self.current is None and not self.waiting:
+            self._leave()  # it has had its answer
 
     def _pump(self) -> None:
         """Take up what waits, one at a time."""
@@ -390,13 +496,13 @@
             while self.waiting and self.current is None and not self.unread and not self.closed:
                 item = self.waiting.popleft()
                 if type(item) is Call and self.engine.lifecycle.turns_away:
-                    self._release(item.size)
+                    self._let_go(item)
                     self._respond(503, b"", b"draining\n", False, item.cls)
                 elif type(item) is Call and self.engine.claim(item):
                     self.current = item
                     self.engine.take(self, item)
                 elif type(item) is Call:
-                    self._release(item.size)
+                    self._let_go(item)
                     text = b"a request with this id is open or has just been\n"
                     self._respond(409, b"", text, item.keep_alive, item.cls)
                 elif type(item) is Ready:
@@ -408,48 +514,98 @@
                     self._respond(item.code, b"", f"{item}\n".encode(), keep_alive, item.cls)
         finally:
             self.pumping = False
-        if self.paused and len(self.waiting) < WAITING_MOST and self.transport is not None and not self.deaf:
-            self.paused = False
-            self.transport.resume_reading()
+        self._update_reading()
 
     def answer(self, call: Call, code: int, headers: bytes, body: bytes) -> None:
         """The final answer to the request that is being served."""
         if self.current is not call:
             return
         self.current = None
-        self._release(call.size)
+        self._let_go(call)
         self._respond(code, headers, body, call.keep_alive, call.cls)
         self._pump()
         self.engine.clients.place(self)
 
+    def begin_answer(
+        self, call: Call, code: int, headers: bytes, length: int | None, pause: Callable[[bool], None]
+    ) -> None:
+        """The final answer has begun to come, and goes on to the client from its first bytes."""
+        if self.current is not call:
+            return
+        chunked = length is None and not call.old
+        keep_alive = self._keeps(call.keep_alive) and (length is not None or chunked)
+        self.passing = Passing(chunked, keep_alive, length is None and not chunked, pause)
+        if chunked:
+            headers += b"Transfer-Encoding: chunked\r\n"
+        elif length is not None:
+            headers += b"Content-Length: %d\r\n" % length
+        self._write(_head(code, headers, keep_alive))
+
+    def answer_part(self, call: Call, data: bytes) -> None:
+        if self.current is call and self.passing is not None:
+            self._write(b"%x\r\n%s\r\n" % (len(data), data) if self.passing.chunked else data)
+
+    def end_answer(self, call: Call, whole: bool) -> None:
+        """The answer has ended; one that is not whole must not look as if it were."""
+        passing = self.passing
+        if self.current is not call or passing is None:
+            return
+        self.current = self.passing = None
+        self._let_go(call)
+        self.engine.stats.ended(call.cls, Disposition.SUCCEEDED if whole else Disposition.ABORTED)
+        if not whole:
+            self._break_off()
+            return
+        if passing.chunked:
+            self._write(b"0\r\n\r\n")
+        if not passing.keep_alive:
+            self._leave()
+        self._pump()
+        self.engine.clients.place(self)
+
+    def _break_off(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            # A reset: the end alone would look like a whole answer where nothing else delimits it.
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.close()
+
+    def _let_go(self, call: Call) -> None:
+        """Of what was held of a request; what still comes of it is read and thrown away."""
+        self._release(call.size)
+        call.body.drop()
+        if call is self.flowing:
+            self.flowing = None
+            self.skipping = True
+
+    def _keeps(self, keep_alive: bool) -> bool:
+        return keep_alive and not (self.engine.lifecycle.leaving and not self.waiting)
+
     def _respond(
         self, code: int, headers: bytes, body: bytes, keep_alive: bool, cls: int | None = None
     ) -> None:
         if cls is not None:
             self.engine.stats.ended(cls, disposition(code))
-        if self.engine.lifecycle.leaving and not self.waiting:
-            keep_alive = False
-        self._write(
-            b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n%s\r\n%s"
-            % (
-                code,
-                REASONS.get(code, b"Unknown"),
-                headers,
-                len(body),
-                b"" if keep_alive else b"Connection: close\r\n",
-                body,
-            )
-        )
-        if keep_alive or self.transport is None or self.transport.is_closing():
+        keep_alive = self._keeps(keep_alive)
+        headers += b"Content-Length: %d\r\n" % len(body)
+        self._write(_head(code, headers, keep_alive) + body)
+        if not keep_alive:
+            self._leave()
+
+    def _leave(self) -> None:
+        """Close once what was written has gone, in a way that lets the client read it."""
+        if self.transport is None or self.transport.is_closing():
             return
         self.waiting.clear()
         if self.deaf:
             # Guards an early answer such as 413 against being lost: closing with input unread resets.
             self.transport.write_eof()
-            self.slow = self.slow or self.engine.loop.call_later(LINGER, self.close)
+            self.linger = self.linger or self.engine.loop.call_later(LINGER, self.close)
+        elif self.skipping and self.begun:
+            self.ending = True
         else:
             self.deaf = True
-            self.transport.close()  # once what was written has gone
+            self.transport.close()
 
     def _write(self, data: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
--- /dev/null
+++ b/tests/test_streaming.py
@@ -0,0 +1,396 @@
+"""Bodies and answers too long to be held: they flow, with bounded memory, and what breaks off shows."""
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+from net_helpers import (
+    HOST,
+    Fake,
+    Sidecar,
+    answer_ok,
+    ask,
+    config,
+    entry,
+    message,
+    news,
+    read_message,
+    run,
+    until,
+)
+
+from dykefold import interface as api
+from dykefold.net import body as bodies
+from dykefold.net import clients, front
+from dykefold.net.body import HOLD_MOST, Body
+from dykefold.net.limits import MB, Memory
+
+BIG = 8 * MB
+PIECE = bytes(range(256)) * 256
+
+
+class Server:
+    """A server that reads requests of any framing and answers as `act` says, by hand."""
+
+    def __init__(self, act):
+        self.act = act
+        self.heads = []
+        self.bodies = []
+        self.broken = 0
+        self.begun = asyncio.Event()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        self.address = f"{HOST}:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+                self.heads.append(head)
+                self.begun.set()
+                self.bodies.append(await self._body(head, reader))
+                await self.act(reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            self.broken += 1
+        finally:
+            writer.close()
+
+    @staticmethod
+    async def _body(head, reader):
+        if "transfer-encoding: chunked" in head:
+            body = b""
+            while size := int(await reader.readuntil(b"\r\n"), 16):
+                body += (await reader.readexactly(size + 2))[:-2]
+            await reader.readexactly(2)
+            return body
+        length = [line for line in head.split("\r\n") if line.startswith("content-length:")]
+        return await reader.readexactly(int(length[0].split(":")[1])) if length else b""
+
+
+async def say_ok(reader, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+
+async def read_chunks(reader):
+    body = b""
+    while size := int(await reader.readuntil(b"\r\n"), 16):
+        body += (await reader.readexactly(size + 2))[:-2]
+    await reader.readexactly(2)
+    return body
+
+
+def chunked_head(ident="ab"):
+    head = message("order", ident).split(b"Content-Length")[0]
+    return head + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+@contextlib.asynccontextmanager
+async def sidecar_before(tmp_path, server, **more):
+    async with Sidecar(tmp_path / "c", config(news(1, entry("s1", server.address)), **more)) as sidecar:
+        yield sidecar
+        assert not sidecar.engine.held and not sidecar.engine.attempts
+
+
+def test_long_bodies_flow_through_in_either_framing(tmp_path):
+    async def play():
+        server = await Server(say_ok).start()
+        async with sidecar_before(tmp_path, server) as sidecar:
+            data = PIECE * 48  # 3 MB
+            assert (await ask(sidecar.port, message("order", "one", "3000m", data))).code == 200
+            parts = [b"%x;ext=1\r\n%s\r\n" % (len(PIECE), PIECE) for _ in range(48)]
+            whole = chunked_head() + b"".join(parts) + b"0\r\nX-Trailer: x\r\n\r\n"
+            assert (await ask(sidecar.port, whole)).code == 200
+            assert server.bodies == [data, data]
+            assert f"content-length: {len(data)}" in server.heads[0]
+            assert "transfer-encoding: chunked" in server.heads[1]
+            spaced = message("order", "two", "3000m", data).replace(
+                b"\r\nContent-Length: ", b"\r\nContent-Length:\t "
+            )
+            head, _, rest = spaced.partition(b"\r\n\r\n")
+            assert (await ask(sidecar.port, head + b" \r\n\r\n" + rest)).code == 200  # white space is no part
+            assert server.bodies == [data, data, data]
+            assert sidecar.engine.stats.forwards == 3
+            await until(lambda: sidecar.engine.memory.held == 0)
+
+    run(play())
+
+
+def test_a_body_that_still_comes_is_not_held_beyond_its_bound(tmp_path):
+    """Backpressure: a server that does not read stops the client, and nothing piles up between."""
+
+    async def play():
+        listening = socket.create_server((HOST, 0))
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
+        data = config(news(1, entry("s1", f"{HOST}:{listening.getsockname()[1]}")))
+        async with Sidecar(tmp_path / "c", data) as sidecar:
+            _, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.transport.set_write_buffer_limits(high=0)
+            writer.write(message("order", "big", "3000m", bytes(BIG)))
+            await until(lambda: sidecar.engine.clients.all)
+            (front,) = sidecar.engine.clients.all
+            await until(lambda: front.paused and front.flowing is not None)
+            (connection,) = sidecar.engine.upstreams.connections
+            assert connection.unwritten
+            assert connection.transport.get_write_buffer_size() < 2 * MB
+            assert sidecar.engine.memory.held < 2 * HOLD_MOST
+            writer.transport.abort()  # the client gives up: nothing has run
+            await until(lambda: not sidecar.engine.held and not sidecar.engine.attempts)
+            assert sidecar.engine.memory.held == 0 and sidecar.engine.stats.forwards == 0
+            writer.close()
+        listening.close()
+
+    run(play())
+
+
+def test_the_first_bytes_of_a_long_answer_go_on_at_once(tmp_path):
+    async def play():
+        async def slowly(reader, writer):
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % BIG + PIECE)
+            await go.wait()
+            writer.write(bytes(BIG - len(PIECE)))
+            await writer.drain()
+
+        go = asyncio.Event()
+        server = await Server(slowly).start()
+        async with sidecar_before(tmp_path, server) as sidecar:
+            events = []
+            handle = sidecar.engine.balancer.handle
+            sidecar.engine.balancer.handle = lambda now, event: events.append(event) or handle(now, event)
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(message("order", "ab", "300m"))
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b"Content-Length: %d" % BIG in head
+            assert await reader.readexactly(len(PIECE)) == PIECE
+            await asyncio.sleep(0.4)  # past its deadline: an answer that has begun has none
+            go.set()
+            assert await reader.readexactly(BIG - len(PIECE)) == bytes(BIG - len(PIECE))
+            writer.write(message("order", "cd"))  # the connection is of further use
+            await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+            started = [event for event in events if isinstance(event, api.StreamStarted)]
+            ended = [event for event in events if isinstance(event, api.Outcome)]
+            assert started[0].duration_ns == ended[0].duration_ns and ended[0].final
+            await until(lambda: not sidecar.engine.held)
+            assert sidecar.engine.memory.held == 0
+
+    run(play())
+
+
+def test_an_answer_in_small_chunks_is_passed_on_and_ends_well(tmp_path):
+    async def play():
+        async def chunks(reader, writer):
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for n in range(50):
+                writer.write(b"1;x=y\r\n%c\r\n" % (65 + n % 26))
+                await asyncio.sleep(0)
+            writer.write(b"0\r\nX-Trailer: x\r\n\r\n")
+
+        server = await Server(chunks).start()
+        async with sidecar_before(tmp_path, server) as sidecar:
+            whole = bytes(65 + n % 26 for n in range(50))
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            for n in range(3):
+                writer.write(message("order", f"id{n}"))
+                head = await reader.readuntil(b"\r\n\r\n")
+                if b"Content-Length: 50" in head:
+                    assert await reader.readexactly(50) == whole
+                else:
+                    assert await read_chunks(reader) == whole
+            writer.close()
+            # A client of HTTP/1.0 knows no chunks: the connection's end delimits.
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(b"GET /lookup HTTP/1.0\r\nX-Request-Id: old\r\n\r\n")
+            got = await reader.read()
+            assert got.endswith(b"\r\n\r\n" + whole) and b"chunked" not in got
+            writer.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize("framing", [b"Content-Length: %d" % BIG, b"Transfer-Encoding: chunked"])
+def test_a_broken_tail_shows(tmp_path, framing):
+    async def play():
+        async def broken(reader, writer):
+            data = b"%x\r\n%s\r\n" % (len(PIECE), PIECE) if b"chunked" in framing else PIECE
+            writer.write(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n" + data)
+            await go.wait()
+            writer.close()
+
+        go = asyncio.Event()
+        server = await Server(broken).start()
+        async with sidecar_before(tmp_path, server) as sidecar:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(message("order", "ab"))
+            await reader.readuntil(b"\r\n\r\n")
+            go.set()
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionResetError)):
+                await (read_chunks(reader) if b"chunked" in framing else reader.readexactly(BIG))
+            writer.close()
+            await until(lambda: not sidecar.engine.held)
+            assert sidecar.engine.stats.results[2] == [0, 0, 1]
+
+    run(play())
+
+
+def test_a_client_that_does_not_read_stops_its_server_and_is_let_go(tmp_path, monkeypatch):
+    monkeypatch.setattr(front, "SLOW_READER", 0.3)
+
+    async def play():
+        async def endless(reader, writer):
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (32 * MB) + bytes(32 * MB))
+            await writer.drain()
+
+        server = await Server(endless).start()
+        async with sidecar_before(tmp_path, server) as sidecar:
+            loop = asyncio.get_running_loop()
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            sock.setblocking(False)
+            await loop.sock_connect(sock, (HOST, sidecar.port))
+            await loop.sock_sendall(sock, message("order", "ab"))
+            await until(lambda: any(c.held_back for c in sidecar.engine.upstreams.connections))
+            (client,) = sidecar.engine.clients.all
+            assert client.transport.get_write_buffer_size() < MB
+            assert sidecar.engine.memory.held < MB
+            await until(lambda: not sidecar.engine.clients.all)
+            sock.close()
+            await until(lambda: not sidecar.engine.held)
+
+    run(play())
+
+
+def test_what_a_failed_upload_may_still_do_is_the_modules_to_say(tmp_path):
+    """Its server broke off half-way: it can't have run, and can't be brought again."""
+
+    async def play():
+        async def hang_up(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            reading.set()
+            await go.wait()
+            writer.transport.abort()
+
+        reading, go = asyncio.Event(), asyncio.Event()
+        server = await asyncio.start_server(hang_up, HOST, 0)
+        address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", address)))) as sidecar:
+            events = []
+            handle = sidecar.engine.balancer.handle
+            sidecar.engine.balancer.handle = lambda now, event: events.append(event) or handle(now, event)
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            whole = message("order", "ab", "3000m", bytes(BIG))
+            writer.write(whole[: 256 * 1024])
+            await reading.wait()
+            go.set()
+            got = await read_message(reader)  # refused at once, while it is still sending
+            assert got.code == 503 and "retry-after" in got.headers
+            writer.write(whole[256 * 1024 :])  # the rest is read and thrown away, the connection goes on
+            writer.write(b"GET /-/ready HTTP/1.1\r\n\r\n")
+            assert (await read_message(reader)).code == 200
+            writer.close()
+            kinds = [type(event) for event in events if not isinstance(event, api.Timer)]
+            assert kinds == [api.Request, api.Spent, api.Outcome]
+            assert events[0].uploading
+            outcome = next(event for event in events if isinstance(event, api.Outcome))
+            assert outcome.status is api.Status.CONNECT_FAILED
+            assert sidecar.engine.stats.forwards == 0 and sidecar.engine.memory.held == 0
+
+    run(play())
+
+
+def test_an_upload_that_finds_no_server_at_first_goes_to_another(tmp_path):
+    async def play():
+        free = socket.create_server((HOST, 0))
+        nobody = f"{HOST}:{free.getsockname()[1]}"
+        free.close()
+        server = await Server(say_ok).start()
+        entries = [entry("s1", nobody), entry("s2", server.address)]
+        async with Sidecar(tmp_path / "c", config(news(1, *entries))) as sidecar:
+            for n in range(4):
+                got = await ask(sidecar.port, message("order", f"id{n}", "3000m", bytes(200_000)))
+                assert got.code == 200
+            assert [len(body) for body in server.bodies] == [200_000] * 4
+
+    run(play())
+
+
+def test_an_upload_that_stalls_is_answered_and_its_attempt_given_up(tmp_path, monkeypatch):
+    monkeypatch.setattr(clients, "HEAD_MOST", 0.3)
+
+    async def play():
+        server = await Server(say_ok).start()
+        async with sidecar_before(tmp_path, server) as sidecar:
+            whole = message("order", "ab", "3000m", bytes(BIG))
+            assert (await ask(sidecar.port, whole[: 256 * 1024])).code == 408
+            await until(lambda: server.broken)
+            await until(lambda: not sidecar.engine.held)
+            assert not server.bodies and sidecar.engine.stats.results[2] == [0, 0, 1]
+
+    run(play())
+
+
+def test_a_spoilt_chunk_far_into_a_body_is_400_and_never_runs(tmp_path):
+    async def play():
+        server = await Server(say_ok).start()
+        async with sidecar_before(tmp_path, server) as sidecar:
+            good = b"%x\r\n%s\r\n" % (len(PIECE), PIECE)
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(chunked_head() + good * 3)
+            await server.begun.wait()
+            writer.write(b"zz\r\n")
+            assert (await read_message(reader)).code == 400
+            writer.close()
+            await until(lambda: server.broken)
+            assert not server.bodies and sidecar.engine.stats.forwards == 0
+
+    run(play())
+
+
+def test_a_slow_body_is_allowed_and_one_after_another_keeps_its_order(tmp_path, monkeypatch):
+    monkeypatch.setattr(clients, "HEAD_MOST", 0.3)
+    monkeypatch.setattr(clients, "BODY_RATE_LEAST", 1000)
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            whole = message("order", "slow", "3000m", bytes(4000))
+            start = len(whole) - 4000
+            writer.write(whole[:start])
+            for at in range(start, len(whole), 100):  # 0.8 s, with 5 kB a second
+                writer.write(whole[at : at + 100])
+                await asyncio.sleep(0.02)
+            assert (await read_message(reader)).code == 200
+            writer.write(message("order", "one", "3000m", bytes(300_000)))
+            writer.write(message("order", "two", "3000m", bytes(300_000)) + b"GET /nothing HTTP/1.1\r\n\r\n")
+            assert [(await read_message(reader)).code for _ in range(3)] == [200, 200, 404]
+            assert [len(got.body) for got in fake.got] == [4000, 300_000, 300_000]
+            writer.close()
+
+    run(play())
+
+
+def test_a_body_is_held_until_its_bound_and_then_flows():
+    class Sink:
+        def __init__(self):
+            self.parts = []
+
+        def body_part(self, data):
+            self.parts.append(data)
+
+        def body_end(self):
+            self.parts.append(b"end")
+
+    memory = Memory(64 * MB)
+    body, sink = Body(memory, None), Sink()
+    assert body.add(bytes(bodies.HOLD_MOST + 1)) and body.stopped
+    assert body.so_far().startswith(b"Transfer-Encoding: chunked\r\n\r\n10001\r\n")
+    body.flow(sink)
+    assert body.spent and memory.held == 0 and not body.stopped
+    body.add(b"abc")
+    body.end()
+    assert sink.parts == [b"3\r\nabc\r\n", b"end"] and body.trailer == b"0\r\n\r\n"
+    body.drop()
+    assert body.add(b"more") and memory.held == 0
