Let go of a crowd's stale connections before slow clients that still write

Way not taken: a larger share of descriptors for clients. Thousands come, so it would only move the moment, and attempts need the other half.

--- a/tests/test_net_front.py
+++ b/tests/test_net_front.py
@@ -311,6 +311,30 @@
     run(play())
 
 
+def test_slow_heads_survive_a_crowd_that_says_half_and_stays(tmp_path, monkeypatch):
+    """Guards slow clients: those that had connected first were taken for the crowd and let go."""
+    monkeypatch.setattr(clients, "STALE", 0.05)
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        data = config(news(1, entry("s1", fake.address)), limits={"sockets": 80})
+        async with Sidecar(tmp_path / "c", data) as sidecar:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            crowd = []
+            for byte in message("order", "slow", "3000m", b"body"):
+                writer.write(bytes([byte]))
+                crowd.append(await asyncio.open_connection(HOST, sidecar.port))
+                if len(crowd) % 2:
+                    crowd[-1][1].write(b"GET /loo")
+                await asyncio.sleep(0.005)
+            assert len(crowd) > 4 * sidecar.engine.descriptors.clients
+            assert (await read_message(reader)).code == 200
+            for _, other in [*crowd, (reader, writer)]:
+                other.close()
+
+    run(play())
+
+
 def test_clients_that_never_end_a_message_are_answered_and_let_go(tmp_path, monkeypatch):
     monkeypatch.setattr(clients, "HEAD_MOST", 0.3)
     monkeypatch.setattr(clients, "IDLE_MOST", 60.0)
