Derive the end after SIGTERM from the longest deadline, and cross no first request

The platform counts the longest deadline, 3 s at the most, and kills 0.7 s later. And a connection that has never asked is not closed when the others are emptied: its first request may be on its way.

Way not taken: accepting for 1 s in place of 0.5 s, on the guess that no other sidecar was back yet.

--- a/dykefold/net/clients.py
+++ b/dykefold/net/clients.py
@@ -107,9 +107,12 @@
                 front.close()
 
     def close_quiet(self) -> None:
-        """Close every connection on which nothing is open, has begun or waits to be read."""
+        """Close every connection on which nothing is open, has begun or waits to be read.
+
+        Not one that has never asked: its first request may be on its way, and its time is short anyway.
+        """
         for front in list(self.all):
-            if front.quiet:
+            if front.asked and front.quiet:
                 front.close()
 
 
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -132,7 +132,8 @@
         self.events: deque[api.Event] = deque()
         self.handling = False
         self.stats = Stats([spec.name for spec in settings.classes])
-        self.lifecycle = Lifecycle(loop, self.clients, self._answer_all)
+        longest = max(spec.deadline_ns for spec in settings.classes) / SECOND
+        self.lifecycle = Lifecycle(loop, self.clients, longest, self._answer_all)
         self.reported_at = -math.inf  # when an exception of the module was last logged
         self._apply(known, api.ListKind.CACHED)
         if not settings.must_ask:
--- a/dykefold/net/lifecycle.py
+++ b/dykefold/net/lifecycle.py
@@ -14,8 +14,10 @@
 ACCEPT_AFTER_TERM = 0.5  # seconds for which new connections still come after SIGTERM
 EMPTY_AFTER = 1.0  # seconds of a drain in which clients' next answers tell them to leave by themselves
 EMPTY_EVERY = 0.1  # seconds between looks for connections that have become idle since
-ANSWER_AFTER_TERM = 3.3  # seconds after which nothing held goes unanswered: the platform kills soon after
-FLUSH_AFTER_TERM = 0.3  # seconds beyond that for clients to read their answers
+KILL_AFTER_DEADLINE = 0.7  # seconds after the longest deadline at which the platform kills at the soonest
+DEADLINE_MOST = 3.0  # seconds that the platform counts a longer deadline as
+ANSWER_BEFORE_KILL = 0.4  # seconds before that at which nothing held goes unanswered any more ...
+STOP_BEFORE_KILL = 0.1  # ... and at which clients have had time to read their answers
 
 
 class Phase(Enum):
@@ -27,11 +29,16 @@
 
 class Lifecycle:
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, clients: Clients, answer_all: Callable[[], None]
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clients: Clients,
+        longest_deadline: float,
+        answer_all: Callable[[], None],
     ) -> None:
         self.loop = loop
         self.clients = clients
         self.answer_all = answer_all
+        self.kill_after = min(longest_deadline, DEADLINE_MOST) + KILL_AFTER_DEADLINE
         self.phase = Phase.STARTING
         self.emptying = False  # idle connections are closed, and what still comes is turned away
         self.server: asyncio.Server | None = None
@@ -104,8 +111,8 @@
         self._stop_emptying()
         log.info("terminating: %d clients connected", len(self.clients.all))
         self.loop.call_later(ACCEPT_AFTER_TERM, self._stop_accepting)
-        self.loop.call_later(ANSWER_AFTER_TERM, self.answer_all)
-        self.loop.call_later(ANSWER_AFTER_TERM + FLUSH_AFTER_TERM, self._stop)
+        self.loop.call_later(max(self.kill_after - ANSWER_BEFORE_KILL, 0.0), self.answer_all)
+        self.loop.call_later(max(self.kill_after - STOP_BEFORE_KILL, 0.0), self._stop)
 
     def _stop_accepting(self) -> None:
         """Close the own descriptor only: another process may go on listening on the same socket."""
