Let old and new processes on one socket share their list, limits and counts through $TMPDIR

Design: each process listens on a Unix socket of its own number in $TMPDIR and links to all others; a link's end is the word that the other is gone, so kills and stale files need no time-out of their own. They greet with the present list in discovery's form, from which the new one starts (draining servers and the starts of cold ones are in it), and tell what they hold as it changes. Limits subtract what the others hold, and a reserve for each process. Any number of processes can overlap.

Way not taken: halving all limits while two live. The old one holds nearly all at first and the new one at last, so half is too little for each in turn. A lock file with a count was left as well: a killed process leaves a count that nobody corrects.

--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -18,8 +18,9 @@
 from .net.discovery import ListError, Names, News, read_news, split_address
 from .net.engine import Engine
 from .net.front import Front
-from .net.limits import MB
+from .net.limits import MB, Descriptors, Memory, Usage
 from .net.management import Management
+from .net.overlap import Overlap
 from .net.peers import Address, Peers
 from .settings import Transport, nested_settings, nested_transport
 
@@ -112,20 +113,34 @@
     return sock
 
 
-def start_engine(loop: asyncio.AbstractEventLoop, config: Config) -> Engine:
+def start_engine(
+    loop: asyncio.AbstractEventLoop, config: Config, usage: Usage | None = None, known: News | None = None
+) -> Engine:
+    usage = usage or Usage(Descriptors(config.sockets), Memory(config.memory))
     return Engine(
         loop,
         config.settings,
         config.transport,
         config.seed,
-        config.sockets,
-        config.memory,
+        usage.descriptors,
+        usage.memory,
         config.discovery,
         config.names,
-        config.known,
+        known or config.known,
     )
 
 
+def handed_list(data: object, names: Names) -> News | None:
+    """The list that a process beside this one has: it is fresher than the configuration's."""
+    if data is None:
+        return None
+    try:
+        return read_news(data, names)
+    except ListError as error:
+        log.warning("the list that was handed over is unreadable: %s", error)
+        return None
+
+
 def reload(engine: Engine, path: str | None) -> None:
     """Reread the configuration: discovery may have moved. What can't be read changes nothing."""
     try:
@@ -139,7 +154,14 @@
 async def run(config: Config, path: str | None) -> None:
     loop = asyncio.get_running_loop()
     inherited = inherited_socket(os.environ.get("GW_FD"))
-    engine = start_engine(loop, config)
+    usage = Usage(Descriptors(config.sockets), Memory(config.memory))
+    engine: Engine | None = None
+    overlap, known = None, None
+    if inherited is not None and (folder := os.environ.get("TMPDIR")):
+        # Only a socket that the platform holds can have another process on it.
+        overlap = Overlap(loop, folder, usage, lambda: engine.list_now() if engine is not None else None)
+        known = handed_list(await overlap.start(), config.names)
+    engine = start_engine(loop, config, usage, known)
     management = Management(loop, engine)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, engine.lifecycle.terminate)
@@ -167,6 +189,8 @@
     log.info("%s listens at %s:%d", config.name, *server.sockets[0].getsockname())
     await engine.lifecycle.stopped
     management.close()
+    if overlap is not None:
+        overlap.close()
     engine.close()
 
 
--- a/dykefold/net/clients.py
+++ b/dykefold/net/clients.py
@@ -37,6 +37,7 @@
         """Take up a new connection; over the clients' share, one of them goes."""
         self.all[front] = None
         self.descriptors.held += 1
+        self.descriptors.connected += 1
         self.waited[front] = self.heard[front] = monotonic()
         if len(self.all) > self.descriptors.clients:
             other = self._one_to_leave(front)
@@ -48,6 +49,7 @@
         if front in self.all:
             del self.all[front]
             self.descriptors.held -= 1
+            self.descriptors.connected -= 1
 
     def _forget(self, front: Front) -> None:
         for places in (self.waited, self.heard, self.idle):
--- a/dykefold/net/discovery.py
+++ b/dykefold/net/discovery.py
@@ -6,7 +6,7 @@
 import json
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import partial
 from time import monotonic
@@ -115,6 +115,29 @@
     return News(version, complete, [listed for listed, _, _ in entries])
 
 
+def write_news(version: int, entries: Iterable[Listed], names: Names) -> dict:
+    """The whole list in the form that `read_news` reads."""
+    zones, kinds = ({number: name for name, number in known.items()} for known in (names.zones, names.kinds))
+    words = {state: word for word, state in STATES.items()}
+    return {
+        "index": version,
+        "snapshot": True,
+        "endpoints": [
+            {
+                "name": entry.name,
+                "address": f"{entry.address[0]}:{entry.address[1]}",
+                "zone": zones.get(entry.endpoint.zone, ""),
+                "type": kinds.get(entry.endpoint.kind, ""),
+                "group": entry.endpoint.cell,
+                "status": words[entry.endpoint.state],
+                "weight": entry.endpoint.weight,
+                "since_ms": entry.since_ms,
+            }
+            for entry in entries
+        ],
+    }
+
+
 def _read_entry(entry: dict) -> tuple[Listed, str, str]:
     """An entry without its numbers, with the names of its zone and kind."""
     since_ms = int(entry.get("since_ms") or 0)
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -17,7 +17,7 @@
 from ..stats import Gauges, Stats, render
 from .body import HOLD_MOST, Body
 from .clients import Clients
-from .discovery import Discovery, Listed, Names, News
+from .discovery import Discovery, Listed, Names, News, write_news
 from .front import Call, Front, Grammar
 from .lifecycle import Lifecycle
 from .limits import Descriptors, Memory
@@ -98,8 +98,8 @@
         settings: Settings,
         transport: Transport,
         seed: int,
-        sockets: int,
-        memory: int,
+        descriptors: Descriptors,
+        memory: Memory,
         discovery: Address,
         names: Names,
         known: News,
@@ -113,8 +113,8 @@
         self.grammar = Grammar(settings)
         self.reports = Reports(settings.report_columns)
         self.probe_path = b"/-/load" if settings.report_columns else b"/-/healthy"
-        self.descriptors = Descriptors(sockets)
-        self.memory = Memory(memory)
+        self.descriptors = descriptors
+        self.memory = memory
         self.clients = Clients(self.descriptors)
         connect_timeout = settings.connect_timeout_ns / SECOND or 1.0
         self.upstreams = Upstreams(
@@ -123,6 +123,7 @@
         self.discovery = Discovery(
             loop, discovery, names, known.version, self.on_news, pushed=not settings.must_ask
         )
+        self.listed: dict[int, Listed] = {}  # the list as it is known now
         self.peers: Peers | None = None
         self.held: dict[int, Held] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}  # those out, also of requests that are over
@@ -425,6 +426,7 @@
         # The module first, so that what the sockets then give up is not sent to the same server again.
         self.post(news.membership(kind))
         if news.complete:
+            self.listed.clear()
             listed = {entry.endpoint.server for entry in news.entries}
             for server in [server for server in self.upstreams.targets if server not in listed]:
                 self._drop_server(server)
@@ -435,6 +437,10 @@
 
     def _apply_entry(self, entry: Listed) -> None:
         endpoint = entry.endpoint
+        if endpoint.state is State.GONE:
+            self.listed.pop(endpoint.server, None)
+        else:
+            self.listed[endpoint.server] = entry
         target = self.upstreams.targets.get(endpoint.server)
         if target is not None and (target.takes_new != (endpoint.state is State.READY)):
             log.info("%s (%d) is %s", entry.name, endpoint.server, endpoint.state.name.lower())
@@ -480,6 +486,10 @@
         for held in list(self.held.values()):
             self._guard(held)
 
+    def list_now(self) -> dict | None:
+        """The list for a process that begins beside this one; an ending one may be long past its last."""
+        return write_news(self.discovery.version or 0, self.listed.values(), self.names)
+
     # What operators ask and order
 
     def healthy(self) -> bool:
@@ -488,7 +498,7 @@
     def report(self) -> str:
         gauges = Gauges(
             outstanding=len(self.held),
-            discovered=len(self.upstreams.targets),
+            discovered=len(self.listed),
             ejected=self.balancer.ejected_count,
         )
         return render(self.stats, gauges)
--- a/dykefold/net/limits.py
+++ b/dykefold/net/limits.py
@@ -1,4 +1,7 @@
-"""What this process may hold: descriptors and the memory of messages, both as the configuration says."""
+"""What this sidecar may hold: descriptors and the memory of messages, both as the configuration says.
+
+Where several processes are one sidecar for a while, each counts what the others hold as well.
+"""
 
 from __future__ import annotations
 
@@ -6,21 +9,38 @@
 
 
 class Descriptors:
-    """The sockets that this process may hold, on both sides together."""
+    """The sockets that this sidecar may hold, on both sides together."""
 
     RESERVE = 50  # for the loop, listening, discovery, peers and operators' calls, which take 30, and for
     # bursts of clients
+    LEAST = 8
 
     def __init__(self, limit: int) -> None:
-        self.limit = max(limit - self.RESERVE, 8)
-        # Clients need a third for requests. What they may hold beyond that must leave enough to attempts,
-        # or silent clients keep every request from its server.
-        self.clients = self.limit // 2
+        self.total = limit
         self.held = 0
+        self.connected = 0  # of these, clients
+        self.others = 0  # processes of this sidecar beside this one
+        self.others_held = 0
+        self.others_connected = 0
+
+    @property
+    def limit(self) -> int:
+        """What all processes together may hold."""
+        return max(self.total - self.RESERVE * (1 + self.others), self.LEAST)
+
+    @property
+    def clients(self) -> int:
+        """What clients may hold of this process.
+
+        Clients need a third for requests. What they may hold beyond that must leave enough to attempts,
+        or silent clients keep every request from its server. Clients move over to a new process sooner
+        than the old one's word of it comes, so it has a third in any case.
+        """
+        return max(self.limit // 2 - self.others_connected, self.limit // 3)
 
     @property
     def full(self) -> bool:
-        return self.held >= self.limit
+        return self.held + self.others_held >= self.limit
 
 
 class Memory:
@@ -32,14 +52,39 @@
     MOST = 48 * MB
 
     def __init__(self, limit: int) -> None:
-        self.most = int(min(max((limit - self.PROGRAM) * self.PART, self.LEAST), self.MOST))
+        self.limit = limit
         self.held = 0
+        self.others = 0
+        self.others_held = 0
+
+    @property
+    def most(self) -> int:
+        """What all processes together may hold."""
+        rest = self.limit - self.PROGRAM * (1 + self.others)
+        return int(min(max(rest * self.PART, self.LEAST), self.MOST))
 
     def reserve(self, size: int) -> bool:
-        if self.held + size > self.most:
+        if self.held + self.others_held + size > self.most:
             return False
         self.held += size
         return True
 
     def release(self, size: int) -> None:
         self.held -= size
+
+
+class Usage:
+    """What is held here and by the other processes of this sidecar."""
+
+    def __init__(self, descriptors: Descriptors, memory: Memory) -> None:
+        self.descriptors = descriptors
+        self.memory = memory
+
+    def own(self) -> tuple[int, int, int]:
+        return self.descriptors.held, self.descriptors.connected, self.memory.held
+
+    def of_others(self, processes: int, held: int, connected: int, memory: int) -> None:
+        self.descriptors.others = self.memory.others = processes
+        self.descriptors.others_held = held
+        self.descriptors.others_connected = connected
+        self.memory.others_held = memory
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -365,9 +365,9 @@
 
         fake = await Fake(act).start()
         pool = make((HOST, fake.port))
-        pool.memory.most = 4000
+        pool.memory.others_held = pool.memory.most - 4000
         assert await start(pool)[1] == (Status.RESET, None)
-        pool.memory.most = 6000
+        pool.memory.others_held = 0
         assert (await start(pool)[1])[0] is Status.OK
         assert pool.memory.held == 0
         pool.close()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -38,11 +38,12 @@
 class Process:
     """The real program, with the port that it says it listens at."""
 
-    def __init__(self, path, data, descriptors=None, inherited=None):
+    def __init__(self, path, data, descriptors=None, inherited=None, folder=None):
         path.write_text(json.dumps(data))
         self.path = path
         self.descriptors = descriptors
         self.inherited = inherited
+        self.folder = folder  # what the processes of a sidecar share
         self.port = 0
         self.operators = 0
 
@@ -51,7 +52,8 @@
             resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
 
     def _handed_over(self):
-        return {"GW_FD": str(self.inherited.fileno())} if self.inherited else {}
+        handed = {"GW_FD": str(self.inherited.fileno())} if self.inherited else {}
+        return {**handed, "TMPDIR": str(self.folder)} if self.folder else handed
 
     async def __aenter__(self):
         self.process = await asyncio.create_subprocess_exec(
