Send nothing for a request that is over: its body goes with its end

Cause, by a test on loopback that holds the connect back: a client leaves while its attempt waits for a connection; the body is let go with the client, and the attempt then went out with `Content-Length: 0`. Until bodies flowed, the attempt had a copy of its own.

What still waits for a connection is now given up when its request ends, an attempt is not begun with a body that is spent, and a connection that comes free is not given to an attempt that was just given up (its task lasts a turn of the loop longer). Way not taken: a copy of each body for each attempt, which costs the memory again that flowing saved.

--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -309,6 +309,11 @@
         self.held.pop(held.id, None)
         if held.timer is not None:
             held.timer.cancel()
+        # Guards servers against a request without its body, which goes with the answer: what still waits
+        # for a connection is not sent any more.
+        for attempt in self._out(held):
+            if attempt.exchange is not None and attempt.exchange.connection is None:
+                attempt.exchange.give_up(Status.CANCELLED)
 
     def _refuse(self, action: api.Refuse) -> None:
         held = self.held.get(action.id)
@@ -333,7 +338,7 @@
         flowing = not call.body.complete
         last = call.wait_ns if flowing else call.deadline_ns - ATTEMPT_MARGIN_NS - now
         wait = min(action.timeout_ns, last) if action.timeout_ns > 0 else last
-        if held.attempts > self.settings.max_attempts or wait <= 0:
+        if held.attempts > self.settings.max_attempts or wait <= 0 or call.body.spent:
             self._end_attempt(held, attempt, Status.MOOT, None)
             return
 
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -617,8 +617,9 @@
             connection.close()
             return
         # One that waits for a connection of its own need not: the one that is being made is kept instead.
-        if target.opening:
-            exchange = next(iter(target.opening))
+        # One that has just been given up is still among them until its task has ended.
+        exchange = next((exchange for exchange in target.opening if not exchange.ended), None)
+        if exchange is not None:
             if connection.send(exchange):
                 del target.opening[exchange]
             else:
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -22,7 +22,7 @@
 
 from dykefold import interface as api
 from dykefold.net import body as bodies
-from dykefold.net import clients, front
+from dykefold.net import clients, front, upstream
 from dykefold.net.body import HOLD_MOST, Body
 from dykefold.net.limits import MB, Memory
 
@@ -372,6 +372,36 @@
     run(play())
 
 
+def test_a_client_that_left_takes_along_what_still_waits_for_a_connection(tmp_path, monkeypatch):
+    """Guards servers against a request without its body: that goes when its client does."""
+    connect = upstream.Upstreams._connect
+
+    async def later(*args):
+        waiting.set()
+        with contextlib.suppress(asyncio.CancelledError):
+            await go.wait()
+        await connect(*args)
+
+    monkeypatch.setattr(upstream.Upstreams, "_connect", later)
+    go, waiting = asyncio.Event(), asyncio.Event()
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            _, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(message("order", "left", "3000m", b"body"))
+            await waiting.wait()
+            writer.transport.abort()
+            await until(lambda: not sidecar.engine.held)
+            assert not sidecar.engine.attempts and sidecar.engine.memory.held == 0
+            go.set()
+            assert (await ask(sidecar.port, message("order", "stays", "3000m", b"body"))).code == 200
+            assert [got.headers["x-request-id"] for got in fake.got] == ["stays"]
+            assert sidecar.engine.stats.forwards == 1
+
+    run(play())
+
+
 def test_a_body_is_held_until_its_bound_and_then_flows():
     class Sink:
         def __init__(self):
