Take an answer that its connection's end delimits for whole when it ends in order

Such an answer now goes on as it comes, in chunks; it is whole when the connection ends in order, and broken when it is reset, as a dying process leaves it, or falls silent. An answer of another code without a length is judged by its head, so a `X-Not-Run: 1` counts again. Way not taken: holding it until its end, which keeps a spoilt one repeatable but the client waiting, for 32 MB in the worst case.

--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -200,6 +200,7 @@
         self.not_run = False
         self.keep_alive = False
         self.load = b""
+        self.until_end = False  # only the connection's end delimits it
         self.whole: Answer | None = None
         self.stray = False
 
@@ -323,7 +324,7 @@
             if self.whole is not None or not self._flows():
                 return True
             self.relaying = True
-            length = None if self.encoding else int(self.length)
+            length = None if self.encoding or self.until_end else int(self.length)
             head = Answer(self.parser.get_status_code(), self.headers, b"", self.not_run, self.load)
             if exchange.relay is None or not exchange.relay.begin(head, length):
                 return False
@@ -340,13 +341,15 @@
         if self.exchange is None or self.exchange.relay is None or not self.in_body or not self.body:
             return False
         return self.parser.get_status_code() == 200 and (
-            bool(self.encoding) or int(self.length) > self.exchange.answer_most
+            bool(self.encoding) or self.until_end or int(self.length) > self.exchange.answer_most
         )
 
     def eof_received(self) -> None:
-        # An answer that only the end of the connection delimits cannot be told from one cut short, so
-        # it is not passed on.
-        self._break()
+        if self.until_end and self.exchange is not None and not self.spoilt:
+            self._complete()  # a process that dies resets its connections: this one has ended in order
+            self._finish()
+        else:
+            self._break()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._break()
@@ -379,14 +382,19 @@
             return
         self.in_body = True
         assert self.exchange is not None
-        # What can't fit, or has no end but the connection's, is known to be of no use before it comes.
+        code = self.parser.get_status_code()
+        most = self.exchange.answer_most
+        if self.exchange.relay is not None and code == 200:
+            most = RELAY_MOST
+        # What can't fit is known to be of no use before it comes.
         if self.encoding:
             self.spoilt = self.encoding.lower() != b"chunked"
-        else:
-            most = self.exchange.answer_most
-            if self.exchange.relay is not None and self.parser.get_status_code() == 200:
-                most = RELAY_MOST
+        elif self.length:
             self.spoilt = not self.length.isdigit() or int(self.length) > most
+        elif code != 200:
+            self._complete()  # the head says all; its body has no end but the connection's
+        else:
+            self.until_end = True
 
     def on_body(self, data: bytes) -> None:
         if self.whole is not None or self.spoilt:
@@ -409,8 +417,11 @@
         # Asked here, since the parser answers for the next message as soon as this call is over: asked
         # later it is always no, and every request pays for a connection of its own.
         self.keep_alive = self.parser.should_keep_alive()
+        self._complete()
+
+    def _complete(self) -> None:
         body = b"" if self.relaying else b"".join(self.body)
-        self.whole = Answer(code, self.headers, body, self.not_run, self.load)
+        self.whole = Answer(self.parser.get_status_code(), self.headers, body, self.not_run, self.load)
 
     # Ends
 
