Let clients keep their connections at a planned end until the time is needed for answers

One got SIGTERM 0.5 s before the other was back, sent its clients away at once, and for that time they had nobody. Ruled out: eviction, late ends, first requests crossed by a close. A longer time of accepting had changed nothing, as new connections stop by themselves.

Now answers say `Connection: close`, and idle connections are closed, from 1.6 s before the kill on; at once where another process listens on the socket. Way not taken: keeping them to the end, which leaves requests no time to be answered in.

--- a/dykefold/net/lifecycle.py
+++ b/dykefold/net/lifecycle.py
@@ -16,6 +16,7 @@
 EMPTY_EVERY = 0.1  # seconds between looks for connections that have become idle since
 KILL_AFTER_DEADLINE = 0.7  # seconds after the longest deadline at which the platform kills at the soonest
 DEADLINE_MOST = 3.0  # seconds that the platform counts a longer deadline as
+LEAVE_BEFORE_KILL = 1.6  # seconds before that at which clients are told to leave, where nobody takes over
 ANSWER_BEFORE_KILL = 0.4  # seconds before that at which nothing held goes unanswered any more ...
 STOP_BEFORE_KILL = 0.1  # ... and at which clients have had time to read their answers
 
@@ -41,6 +42,7 @@
         self.kill_after = min(longest_deadline, DEADLINE_MOST) + KILL_AFTER_DEADLINE
         self.phase = Phase.STARTING
         self.emptying = False  # idle connections are closed, and what still comes is turned away
+        self.sending_away = False  # the end is so near that clients do better elsewhere
         self.server: asyncio.Server | None = None
         self.stopped: asyncio.Future[None] = loop.create_future()
         self.emptier: asyncio.TimerHandle | None = None
@@ -53,7 +55,7 @@
     @property
     def leaving(self) -> bool:
         """Whether answers tell their clients to come back on another connection."""
-        return self.phase in (Phase.DRAINING, Phase.TERMINATING)
+        return self.phase is Phase.DRAINING or self.sending_away
 
     @property
     def turns_away(self) -> bool:
@@ -104,13 +106,22 @@
     # The planned end
 
     def terminate(self) -> None:
-        """Answer what is held and what still comes for a moment, then stop."""
+        """Answer what is held and what still comes for a moment, then stop.
+
+        Clients whose next sidecar is not back yet have only the connections that they hold: these stay
+        until the time that is left is needed for answers. Where another process listens, they move at once.
+        """
         if self.phase is Phase.TERMINATING:
             return
         self.phase = Phase.TERMINATING
         self._stop_emptying()
         log.info("terminating: %d clients connected", len(self.clients.all))
+        taken_over = self.clients.descriptors.others > 0
         self.loop.call_later(ACCEPT_AFTER_TERM, self._stop_accepting)
+        if taken_over:
+            self.sending_away = True
+        else:
+            self.loop.call_later(max(self.kill_after - LEAVE_BEFORE_KILL, 0.0), self._send_away)
         self.loop.call_later(max(self.kill_after - ANSWER_BEFORE_KILL, 0.0), self.answer_all)
         self.loop.call_later(max(self.kill_after - STOP_BEFORE_KILL, 0.0), self._stop)
 
@@ -119,7 +130,13 @@
         if self.server is not None:
             self.server.close()
         self.server = None
-        self._empty()
+        if self.sending_away:
+            self._empty()
+
+    def _send_away(self) -> None:
+        self.sending_away = True
+        if self.server is None:
+            self._empty()
 
     def client_left(self) -> None:
         self._end_if_done()
