Rename the package to ochreflow

The package still had the name it was first written under, while the product, its issues and its pages say ochreflow.

--- a/dykefold/__init__.py
+++ b/ochreflow/__init__.py
@@ -1,4 +1,4 @@
-"""dykefold: the decisions of a sidecar load balancer, without I/O."""
+"""ochreflow: the decisions of a sidecar load balancer, without I/O."""
 
 from .interface import Settings
 from .logic import Balancer
--- a/dykefold/__main__.py
+++ b/ochreflow/__main__.py
@@ -24,7 +24,7 @@
 from .net.peers import Address, Peers
 from .settings import Transport, nested_settings, nested_transport
 
-log = logging.getLogger("dykefold")
+log = logging.getLogger("ochreflow")
 
 BACKLOG = 512
 SOCKETS = 1024  # where the configuration names no limit
@@ -205,7 +205,7 @@
             runner.run(run(config, path))
             signal.signal(signal.SIGHUP, signal.SIG_IGN)
     except ConfigError as error:
-        print(f"dykefold: {error}", file=sys.stderr)
+        print(f"ochreflow: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/dykefold/net/discovery.py
+++ b/ochreflow/net/discovery.py
@@ -15,7 +15,7 @@
 from .limits import MB, Descriptors, Memory
 from .upstream import Answer, Exchange, Upstreams
 
-log = logging.getLogger("dykefold.discovery")
+log = logging.getLogger("ochreflow.discovery")
 
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 WATCH_MS = 20_000
--- a/dykefold/net/engine.py
+++ b/ochreflow/net/engine.py
@@ -25,7 +25,7 @@
 from .reports import Reports
 from .upstream import Answer, Exchange, Upstreams
 
-log = logging.getLogger("dykefold")
+log = logging.getLogger("ochreflow")
 
 MS = 1_000_000
 SECOND = 1_000_000_000
--- a/dykefold/net/lifecycle.py
+++ b/ochreflow/net/lifecycle.py
@@ -9,7 +9,7 @@
 
 from .clients import Clients
 
-log = logging.getLogger("dykefold")
+log = logging.getLogger("ochreflow")
 
 ACCEPT_AFTER_TERM = 0.5  # seconds for which new connections still come after SIGTERM
 EMPTY_AFTER = 1.0  # seconds of a drain in which clients' next answers tell them to leave by themselves
--- a/dykefold/net/overlap.py
+++ b/ochreflow/net/overlap.py
@@ -18,7 +18,7 @@
 
 from .limits import Usage
 
-log = logging.getLogger("dykefold.overlap")
+log = logging.getLogger("ochreflow.overlap")
 
 PREFIX = "sidecar-"
 SUFFIX = ".sock"
--- a/dykefold/wirehost.py
+++ b/ochreflow/wirehost.py
@@ -229,7 +229,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except (FrameError, SettingError) as error:
-        print(f"dykefold: {error}", file=sys.stderr)
+        print(f"ochreflow: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -1,6 +1,6 @@
 """The four rules, judged from outside by what went in and what came out. Shares no code with the module."""
 
-from dykefold.interface import (
+from ochreflow.interface import (
     Cancel,
     Effect,
     Fail,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,7 +1,7 @@
 """Small settings and events for the tests."""
 
-from dykefold import Balancer
-from dykefold.interface import (
+from ochreflow import Balancer
+from ochreflow.interface import (
     Effect,
     Endpoint,
     ListKind,
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -9,8 +9,8 @@
 
 import uvloop
 
-from dykefold.__main__ import read_config, start_engine
-from dykefold.net.front import Front
+from ochreflow.__main__ import read_config, start_engine
+from ochreflow.net.front import Front
 
 HOST = "127.0.0.1"
 MS = 1_000_000
--- a/tests/test_little.py
+++ b/tests/test_little.py
@@ -3,7 +3,7 @@
 from helpers import MS, SECOND, START, endpoint, kinds, play_timers, request, send_one, serve
 from helpers import make as make_any
 
-from dykefold.interface import (
+from ochreflow.interface import (
     Dropped,
     Effect,
     Endpoint,
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -21,9 +21,9 @@
     until,
 )
 
-from dykefold.net import lifecycle, management
-from dykefold.net.management import Management
-from dykefold.stats import Disposition, Gauges, Stats, render
+from ochreflow.net import lifecycle, management
+from ochreflow.net.management import Management
+from ochreflow.stats import Disposition, Gauges, Stats, render
 
 READY = b"GET /-/ready HTTP/1.1\r\n\r\n"
 
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -20,9 +20,9 @@
     until,
 )
 
-from dykefold.interface import State
-from dykefold.net import discovery
-from dykefold.net.discovery import Discovery, ListError, Names, read_news, split_address
+from ochreflow.interface import State
+from ochreflow.net import discovery
+from ochreflow.net.discovery import Discovery, ListError, Names, read_news, split_address
 
 
 def names():
@@ -107,7 +107,7 @@
             await until(lambda: len(heard) == count)  # noqa: B023
         asker.close()
 
-    caplog.set_level("INFO", "dykefold.discovery")
+    caplog.set_level("INFO", "ochreflow.discovery")
     run(play())
     assert caplog.messages == ["discovery failed: answer 503", "discovery answers again"]
 
--- a/tests/test_net_front.py
+++ b/tests/test_net_front.py
@@ -22,9 +22,9 @@
     until,
 )
 
-from dykefold.net import clients, engine, front
-from dykefold.net.limits import MB, Descriptors, Memory
-from dykefold.net.peers import Peers
+from ochreflow.net import clients, engine, front
+from ochreflow.net.limits import MB, Descriptors, Memory
+from ochreflow.net.peers import Peers
 
 ID = b"X-Request-Id: ab\r\n"
 
--- a/tests/test_net_long_day.py
+++ b/tests/test_net_long_day.py
@@ -2,7 +2,7 @@
 
 from net_helpers import HOST, Fake, Sidecar, answer_ok, ask, config, entry, message, news, run, until
 
-from dykefold.net.discovery import read_news
+from ochreflow.net.discovery import read_news
 
 DAYS_WORTH = 3000
 
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -23,7 +23,7 @@
     until,
 )
 
-from dykefold import interface as api
+from ochreflow import interface as api
 
 NOT_RUN = "X-Not-Run: 1"
 
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -10,10 +10,10 @@
 import pytest
 from net_helpers import HOST, WAIT, Fake, answer_ok, reply, run, silent, until
 
-from dykefold.interface import State, Status
-from dykefold.net import upstream
-from dykefold.net.limits import MB, Descriptors, Memory
-from dykefold.net.upstream import Exchange, Upstreams
+from ochreflow.interface import State, Status
+from ochreflow.net import upstream
+from ochreflow.net.limits import MB, Descriptors, Memory
+from ochreflow.net.upstream import Exchange, Upstreams
 
 PAYLOAD = b"GET /lookup HTTP/1.1\r\nX-Request-Id: ab\r\n\r\n"
 
--- a/tests/test_overlap.py
+++ b/tests/test_overlap.py
@@ -9,9 +9,9 @@
 from net_helpers import HOST, Fake, answer_ok, ask, config, entry, message, news, run, until
 from test_process import Process
 
-from dykefold.net.discovery import Names, read_news, write_news
-from dykefold.net.limits import MB, Descriptors, Memory, Usage
-from dykefold.net.overlap import Overlap
+from ochreflow.net.discovery import Names, read_news, write_news
+from ochreflow.net.limits import MB, Descriptors, Memory, Usage
+from ochreflow.net.overlap import Overlap
 
 
 def usage(sockets=384, memory=80):
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -5,8 +5,8 @@
 import pytest
 from helpers import MS, SECOND, START, endpoint, make, play_timers, request, settings
 
-from dykefold import Balancer
-from dykefold.interface import (
+from ochreflow import Balancer
+from ochreflow.interface import (
     Effect,
     ListKind,
     Membership,
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,4 +1,4 @@
-"""The programs themselves: `python -m dykefold` from start to SIGTERM, and the adapter's start."""
+"""The programs themselves: `python -m ochreflow` from start to SIGTERM, and the adapter's start."""
 
 import asyncio
 import json
@@ -29,7 +29,7 @@
     until,
 )
 
-from dykefold.settings import nested_settings, parse_settings
+from ochreflow.settings import nested_settings, parse_settings
 
 ROOT = Path(__file__).parent.parent
 READY = b"GET /-/ready HTTP/1.1\r\n\r\n"
@@ -59,7 +59,7 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "dykefold",
+            "ochreflow",
             cwd=ROOT,
             env={**os.environ, "GW_CONFIG": str(self.path), **self._handed_over()},
             stderr=asyncio.subprocess.PIPE,
@@ -194,10 +194,10 @@
     else:
         path.write_text(json.dumps({**config(news(1)), **change}))
     done = subprocess.run(
-        [sys.executable, "-m", "dykefold"], cwd=ROOT, env=env, capture_output=True, timeout=60, check=False
+        [sys.executable, "-m", "ochreflow"], cwd=ROOT, env=env, capture_output=True, timeout=60, check=False
     )
     assert done.returncode not in (0, None)
-    assert done.stderr.startswith(b"dykefold: ") and done.stderr.count(b"\n") == 1
+    assert done.stderr.startswith(b"ochreflow: ") and done.stderr.count(b"\n") == 1
 
 
 def test_it_is_ready_while_discovery_is_down(tmp_path):
@@ -326,7 +326,7 @@
     path = tmp_path / "c"
     path.write_text(json.dumps(config(news(1))))
     done = subprocess.run(
-        [sys.executable, "-m", "dykefold"],
+        [sys.executable, "-m", "ochreflow"],
         cwd=ROOT,
         env={**os.environ, "GW_CONFIG": str(path), "GW_FD": text},
         stdin=subprocess.DEVNULL,
@@ -335,7 +335,7 @@
         timeout=20,
     )
     assert done.returncode == 1
-    assert done.stderr.startswith("dykefold: GW_FD") and done.stderr.count("\n") == 1
+    assert done.stderr.startswith("ochreflow: GW_FD") and done.stderr.count("\n") == 1
 
 
 def test_operators_are_heard_at_their_own_address(tmp_path):
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -9,8 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dykefold import Balancer, Settings
-from dykefold.interface import (
+from ochreflow import Balancer, Settings
+from ochreflow.interface import (
     Cancel,
     Dropped,
     Effect,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,8 +2,8 @@
 
 from helpers import MS, SECOND, START, endpoint, kinds, make, play_timers, request, send_one, serve, settings
 
-from dykefold import Balancer
-from dykefold.interface import (
+from ochreflow import Balancer
+from ochreflow.interface import (
     Cancel,
     Dropped,
     Effect,
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -21,11 +21,11 @@
     until,
 )
 
-from dykefold import interface as api
-from dykefold.net import body as bodies
-from dykefold.net import clients, front, upstream
-from dykefold.net.body import HOLD_MOST, Body
-from dykefold.net.limits import MB, Memory
+from ochreflow import interface as api
+from ochreflow.net import body as bodies
+from ochreflow.net import clients, front, upstream
+from ochreflow.net.body import HOLD_MOST, Body
+from ochreflow.net.limits import MB, Memory
 
 BIG = 8 * MB
 PIECE = bytes(range(256)) * 256
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from dykefold import settings, wirehost
-from dykefold.interface import Effect, Scope
+from ochreflow import settings, wirehost
+from ochreflow.interface import Effect, Scope
 
 ROOT = Path(__file__).parent.parent
 TEXT = """\
@@ -154,11 +154,11 @@
 )
 def test_a_broken_frame_is_one_line_and_a_failure(data):
     run = subprocess.run(
-        [sys.executable, "-m", "dykefold.wirehost"], input=data, capture_output=True, cwd=ROOT, check=False
+        [sys.executable, "-m", "ochreflow.wirehost"], input=data, capture_output=True, cwd=ROOT, check=False
     )
     assert run.returncode != 0
     assert run.stdout == b""
-    assert run.stderr.startswith(b"dykefold: ") and run.stderr.count(b"\n") == 1
+    assert run.stderr.startswith(b"ochreflow: ") and run.stderr.count(b"\n") == 1
 
 
 def test_an_exception_of_the_module_becomes_an_error_record_with_its_text(monkeypatch):
