--- a/ochreflow/__init__.py
+++ b/ochreflow/__init__.py
@@ -1,6 +1,6 @@
-"""ochreflow: the decisions of a sidecar load balancer, without I/O."""
+"""ochreflow: a sidecar load balancer. The decisions, without I/O, stand in `ochreflow.policy`."""
 
-from .interface import Settings
-from .logic import Balancer
+from .policy.interface import Settings
+from .policy.logic import Balancer
 
 __all__ = ["Balancer", "Settings"]
--- /dev/null
+++ b/ochreflow/app/__init__.py
@@ -0,0 +1,1 @@
+"""What puts the parts together for a process."""
--- a/ochreflow/net/overlap.py
+++ b/ochreflow/app/overlap.py
@@ -11,14 +11,12 @@
 import asyncio
 import contextlib
 import json
-import logging
 import os
 from collections.abc import Callable
 from pathlib import Path
 
-from .limits import Usage
-
-log = logging.getLogger("ochreflow.overlap")
+from ..core.limits import Usage
+from ..core.log import log
 
 PREFIX = "sidecar-"
 SUFFIX = ".sock"
@@ -53,14 +51,14 @@
     async def start(self) -> object:
         """Listen, link to who is there, and return the list that the newest of them has, if any."""
         if len(os.fsencode(self.path)) > PATH_MOST:
-            log.warning("the name %s is too long: other processes of this sidecar are not seen", self.path)
+            log.warning("overlap_unseen", reason=f"the name {self.path} is too long")
             return None
         with contextlib.suppress(OSError):
             self.path.unlink()  # of an earlier process of this number
         try:
             self.server = await self.loop.create_unix_server(lambda: Link(self), str(self.path))
         except OSError as error:
-            log.warning("other processes of this sidecar are not seen: %s", error)
+            log.warning("overlap_unseen", reason=str(error))
             return None
         others = [path for path in self.folder.glob(f"{PREFIX}*{SUFFIX}") if path != self.path]
         links = [link for path in others if (link := await self._connect(path)) is not None]
@@ -139,7 +137,7 @@
             try:
                 self._read(json.loads(line))
             except (ValueError, TypeError, KeyError, AttributeError, RecursionError):
-                log.warning("another process said what can't be read; it is left alone")
+                log.warning("overlap_unreadable")
                 self.close()
                 return
         if len(self.buffer) > LINE_MOST:
@@ -149,7 +147,7 @@
         if "pid" in message:
             self.pid = int(message["pid"])
             self.handed = message["list"]
-            log.info("process %d serves beside this one", self.pid)
+            log.info("overlap_began", process=self.pid)
             if not self.greeted.done():
                 self.greeted.set_result(None)
         descriptors, clients, memory = (max(int(part), 0) for part in message["holds"])
@@ -161,7 +159,7 @@
         if not self.greeted.done():
             self.greeted.set_result(None)
         if self.pid is not None:
-            log.info("process %d is gone", self.pid)
+            log.info("overlap_ended", process=self.pid)
         self.overlap.changed()
 
     def write(self, message: dict) -> None:
--- /dev/null
+++ b/ochreflow/app/process.py
@@ -0,0 +1,130 @@
+"""The real sidecar as a process: its sockets, signals and exit code."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import socket
+import sys
+
+import uvloop
+
+from ..core.fleet import Names, News
+from ..core.limits import Descriptors, Memory, Usage
+from ..core.log import log
+from ..http.management import Management
+from ..membership.directory import ListError, read_news
+from ..membership.peers import Peers
+from .config import Config, ConfigError, read_config
+from .overlap import Overlap
+from .sidecar import Sidecar
+
+BACKLOG = 512
+
+
+def inherited_socket(text: str | None) -> socket.socket | None:
+    """The clients' listening socket, where the platform holds it for every process."""
+    if not text:
+        return None
+    try:
+        if not (text.isascii() and text.isdigit()):
+            raise ValueError("no number")
+        sock = socket.socket(fileno=int(text))
+        try:
+            listening = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+        except OSError:
+            listening = 0
+        if not listening or sock.type != socket.SOCK_STREAM:
+            sock.detach()
+            raise ValueError("no listening socket")
+    except (OSError, ValueError, OverflowError) as error:
+        raise ConfigError(f"GW_FD {text!r} can't be used: {error}") from None
+    return sock
+
+
+def handed_list(data: object, names: Names) -> News | None:
+    """The list that a process beside this one has: it is fresher than the configuration's."""
+    if data is None:
+        return None
+    try:
+        return read_news(data, names)
+    except ListError as error:
+        log.warning("handed_list_unreadable", reason=str(error))
+        return None
+
+
+def reload(sidecar: Sidecar, path: str | None) -> None:
+    """Reread the configuration: discovery may have moved. What can't be read changes nothing."""
+    try:
+        config = read_config(path)
+    except ConfigError as error:
+        log.warning("reload_refused", reason=str(error))
+        return
+    sidecar.reload(config)
+
+
+async def run(config: Config, path: str | None) -> None:
+    loop = asyncio.get_running_loop()
+    inherited = inherited_socket(os.environ.get("GW_FD"))
+    usage = Usage(Descriptors(config.sockets), Memory(config.memory))
+    sidecar: Sidecar | None = None
+    overlap, known = None, None
+    if inherited is not None and (folder := os.environ.get("TMPDIR")):
+        # Only a socket that the platform holds can have another process on it.
+        overlap = Overlap(loop, folder, usage, lambda: sidecar.list_now() if sidecar is not None else None)
+        known = handed_list(await overlap.start(), config.names)
+    sidecar = Sidecar(loop, config, usage, known)
+    engine = sidecar.engine
+    management = Management(loop, engine)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, engine.lifecycle.terminate)
+    loop.add_signal_handler(signal.SIGHUP, reload, sidecar, path)
+    try:
+        if config.peer_listen is not None:
+            peers = Peers(config.settings.index, config.peers, config.peers_all, engine.on_peer)
+            await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
+            engine.peers = peers
+        if config.management is not None:
+            listener = await loop.create_server(management.call, *config.management, backlog=BACKLOG)
+            host, port = listener.sockets[0].getsockname()
+            log.info("operators_listening", host=host, port=port)
+        if inherited is not None:
+            server = await loop.create_server(sidecar.http.connection, sock=inherited, backlog=BACKLOG)
+        else:
+            server = await loop.create_server(sidecar.http.connection, *config.listen, backlog=BACKLOG)
+    except OSError as error:
+        raise ConfigError(f"can't listen: {error}") from None
+    sidecar.http.listen(server)
+    engine.lifecycle.serve()
+    # What was made until now lives as long as the process: collections need not look at it again, nor
+    # come as often as for a program that makes cycles.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 50)
+    host, port = server.sockets[0].getsockname()
+    log.info("listening", name=config.name, host=host, port=port)
+    await engine.lifecycle.stopped
+    management.close()
+    if overlap is not None:
+        overlap.close()
+    sidecar.close()
+
+
+def main() -> int:
+    # The loop's own reports of exceptions that nobody caught.
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    # Guards the start and the end, when no loop listens: the signal's default would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    path = os.environ.get("GW_CONFIG")
+    try:
+        config = read_config(path)
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(run(config, path))
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    except ConfigError as error:
+        print(f"ochreflow: {error}", file=sys.stderr)
+        return 1
+    return 0
--- /dev/null
+++ b/ochreflow/app/sidecar.py
@@ -0,0 +1,65 @@
+"""One sidecar put together: the core, the HTTP front and carrier, and the directory."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+
+from ..core.engine import SECOND, Engine
+from ..core.fleet import News
+from ..core.limits import Descriptors, Memory, Usage
+from ..http.calls import HttpCalls
+from ..http.carrier import HttpCarrier
+from ..http.front import HttpFront
+from ..http.upstream import Upstreams
+from ..membership.directory import Directory, write_news
+from .config import Config
+
+CONNECT_WITHIN = 1.0  # seconds, where the settings name no time
+
+
+class Sidecar:
+    """Owns the parts; each of them owns its own state."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        config: Config,
+        usage: Usage | None = None,
+        known: News | None = None,
+    ) -> None:
+        usage = usage or Usage(Descriptors(config.sockets), Memory(config.memory))
+        settings, known = config.settings, known or config.known
+        self.names = config.names
+        self.engine = Engine(loop, settings, config.transport.max_open, config.seed, usage, config.names)
+        self.upstreams = Upstreams(
+            loop,
+            usage.descriptors,
+            usage.memory,
+            settings.connect_timeout_ns / SECOND or CONNECT_WITHIN,
+            config.transport.conn_idle_ns / SECOND,
+        )
+        self.carrier = HttpCarrier(self.upstreams, settings.report_columns)
+        self.http = HttpFront(self.engine, self.carrier)
+        self.directory = Directory(
+            loop,
+            partial(HttpCalls, loop),
+            config.discovery,
+            config.names,
+            known.version,
+            self.engine.on_news,
+            pushed=not settings.must_ask,
+        )
+        self.engine.start(self.directory, known)
+
+    def list_now(self) -> dict:
+        """The list for a process that begins beside this one; an ending one may be long past its last."""
+        return write_news(self.directory.version or 0, self.engine.fleet.listed.values(), self.names)
+
+    def reload(self, config: Config) -> None:
+        """Take what may change while running of a new configuration: the directory may have moved."""
+        self.directory.turn(config.discovery)
+
+    def close(self) -> None:
+        """Let go of all sockets."""
+        self.engine.close()
--- a/ochreflow/net/body.py
+++ b/ochreflow/core/body.py
@@ -24,7 +24,6 @@
     def __init__(self, memory: Memory, length: int | None) -> None:
         self.memory = memory
         self.length = length  # as stated; None: in chunks
-        self.chunked = False  # how it goes on
         self.held = bytearray()
         self.size = 0  # of all that has come
         self.complete = False
@@ -48,7 +47,7 @@
         if self.dropping:
             return True
         if self.sink is not None:
-            self.sink.body_part(self._framed(data))
+            self.sink.body_part(data)
             return True
         if not self.memory.reserve(len(data)):
             return False
@@ -60,26 +59,6 @@
         if self.sink is not None:
             self.sink.body_end()
 
-    def _framed(self, data: bytes | bytearray) -> bytes:
-        if not self.chunked or not data:
-            return bytes(data)
-        return b"%x\r\n%s\r\n" % (len(data), data)
-
-    @property
-    def trailer(self) -> bytes:
-        """What follows the last piece."""
-        return b"0\r\n\r\n" if self.chunked else b""
-
-    def so_far(self) -> bytes:
-        """The end of the head, which says how the body is framed, and all that is held of it."""
-        if self.complete:
-            self.chunked = False
-            return b"Content-Length: %d\r\n\r\n%s" % (len(self.held), self.held)
-        self.chunked = self.length is None
-        if self.chunked:
-            return b"Transfer-Encoding: chunked\r\n\r\n" + self._framed(self.held)
-        return b"Content-Length: %d\r\n\r\n%s" % (self.length, self.held)
-
     def flow(self, sink: Sink) -> None:
         """What was held has been written to this sink, and all the rest goes there."""
         self.sink = sink
--- /dev/null
+++ b/ochreflow/core/engine.py
@@ -0,0 +1,509 @@
+"""Drives the decision module: what fronts, carriers and sources tell it, its actions, and a last guard.
+
+It knows no protocol. A front takes requests in and is owed a verdict on each; a carrier brings attempts
+to servers and says what their ends prove; a source tells of servers (`ports.py`).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections import deque
+from dataclasses import dataclass
+from functools import partial
+from time import monotonic, monotonic_ns, time_ns
+
+from ..policy import interface as api
+from ..policy.interface import Settings, Status
+from ..policy.logic import Balancer
+from .fleet import Fleet, Names, News
+from .lifecycle import Lifecycle
+from .limits import Usage
+from .log import log
+from .names import UsedNames
+from .ports import Call, Carriage, Carrier, Front, Owed, Reason, Source, Teller, Verdict
+from .stats import Disposition, Gauges, Stats, render
+
+MS = 1_000_000
+SECOND = 1_000_000_000
+ATTEMPT_MARGIN_NS = 15 * MS  # before the client's deadline the last attempt is given up
+GUARD_MARGIN_NS = 8 * MS  # ... and a request that then still has no answer gets one
+PROBE_TIMEOUT = 0.4  # seconds
+SWEEP_EVERY = 0.1
+NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)  # ends that prove it
+
+
+class Clock:
+    """Monotonic time on the scale of Unix time, which the starts of servers are told in."""
+
+    def __init__(self) -> None:
+        self.offset = time_ns() - monotonic_ns()
+
+    def now(self) -> int:
+        return self.offset + monotonic_ns()
+
+
+class Door:
+    """A front as the core knows it: where its requests come in, and what carries them on."""
+
+    def __init__(self, label: str, front: Front, carrier: Carrier, counts: list[int]) -> None:
+        self.label = label
+        self.front = front
+        self.carrier = carrier
+        self.counts = counts
+        self.names = UsedNames()  # a name means a request of this front only
+
+
+class Attempt:
+    """One attempt, from its start to its one end. Its carrier tells it what becomes of it."""
+
+    __slots__ = ("answered_ns", "carriage", "engine", "held", "number", "sent_ns", "server")
+
+    def __init__(self, engine: Engine, held: Held, number: int, server: int, sent_ns: int) -> None:
+        self.engine = engine
+        self.held = held
+        self.number = number
+        self.server = server
+        self.sent_ns = sent_ns  # when it began: for a body that was still coming, when that was through
+        self.answered_ns = 0  # when its answer began to go on to the client
+        self.carriage: Carriage | None = None  # None: it failed while it was being made
+
+    def written(self) -> None:
+        self.engine.written(self.held, self)
+
+    def begin(self, head: object, length: int | None) -> bool:
+        return self.engine.begin_answer(self.held, self, head, length)
+
+    def part(self, data: bytes) -> None:
+        self.held.owed_to.part(self.held.call, data)
+
+    def ended(self, status: Status, answer: object, report: tuple[float, ...]) -> None:
+        self.engine.end_attempt(self.held, self, status, answer, report)
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A request that has been taken."""
+
+    id: int
+    call: Call
+    owed_to: Owed
+    door: Door
+    timer: asyncio.TimerHandle | None = None
+    attempts: int = 0
+    may_have_run: bool = False  # some attempt has ended without a proof that it did not
+    owed: bool = True  # its final answer
+    uploading: bool = False  # the module was told that its body is still coming
+    relaying: Attempt | None = None  # whose answer is on its way to the client already
+
+
+class Engine:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        settings: Settings,
+        max_open: int,
+        seed: int,
+        usage: Usage,
+        names: Names,
+    ) -> None:
+        self.loop = loop
+        self.settings = settings
+        self.max_open = max_open
+        self.now = Clock().now
+        self.balancer = Balancer(settings, seed)
+        self.descriptors = usage.descriptors
+        self.memory = usage.memory
+        self.doors: list[Door] = []
+        self.carriers: list[Carrier] = []
+        self.fleet = Fleet(names, self.carriers)
+        self.source: Source | None = None
+        self.peers: Teller | None = None
+        self.held: dict[int, Held] = {}
+        self.attempts: dict[tuple[int, int], Attempt] = {}  # those out, also of requests that are over
+        self.next_id = 1
+        self.events: deque[api.Event] = deque()
+        self.handling = False
+        self.stats = Stats([spec.name for spec in settings.classes])
+        longest = max(spec.deadline_ns for spec in settings.classes) / SECOND
+        self.lifecycle = Lifecycle(loop, self.descriptors, longest, self._answer_all)
+        self.reported_at = -math.inf  # when an exception of the module was last logged
+
+    # How it is put together
+
+    def open_door(self, label: str, front: Front, carrier: Carrier) -> Door:
+        """Let a front in. Its carrier is told of all servers from here on: before `start`."""
+        door = Door(label, front, carrier, self.stats.open_front(label))
+        self.doors.append(door)
+        self.lifecycle.fronts.append(front)
+        if carrier not in self.carriers:
+            self.carriers.append(carrier)
+        return door
+
+    def start(self, source: Source, known: News) -> None:
+        """Begin with the list as it was known last, and with whatever tells of its changes."""
+        self.source = source
+        self._apply(known, api.ListKind.CACHED)
+        if not self.settings.must_ask:
+            source.watch(True)
+        self._sweep()
+
+    # Events to the module, its actions
+
+    def post(self, event: api.Event) -> None:
+        """Hand the module an event after those that came before it; then do what it says."""
+        self.events.append(event)
+        if self.handling:
+            return
+        self.handling = True
+        try:
+            while self.events:
+                event = self.events.popleft()
+                try:
+                    actions = self.balancer.handle(self.now(), event)
+                except Exception:
+                    # Guards all other requests against a fault in one; the last guard answers that one.
+                    self.fault("the module failed on an event")
+                    actions = self.balancer.actions
+                for action in actions:
+                    try:
+                        self._act(action)
+                    except Exception:
+                        self.fault("an action failed")
+        finally:
+            self.handling = False
+
+    def fault(self, reason: str) -> None:
+        if monotonic() - self.reported_at >= 1.0:
+            self.reported_at = monotonic()
+            log.exception("fault", reason=reason)
+
+    def _act(self, action: api.Action) -> None:
+        kind = type(action)
+        if kind is api.Send:
+            self._send(action)
+        elif kind is api.SetTimer:
+            # Whole milliseconds, upwards: the loop counts in these, and an early bell rings for nothing.
+            self.loop.call_later(-(-action.after_ns // MS) / 1000, self.post, api.Timer(action.token))
+        elif kind is api.Refuse:
+            self._decided(
+                action.id, Verdict(Disposition.DECLINED, Reason.DECIDED, None, action.retry_after_ns)
+            )
+        elif kind is api.Fail:
+            self._decided(action.id, Verdict(Disposition.ABORTED, Reason.DECIDED))
+        elif kind is api.Cancel:
+            self._cancel(action)
+        elif kind is api.Probe:
+            self._probe(action.server)
+        elif kind is api.CloseIdle:
+            for carrier in self.carriers:
+                carrier.close_idle(action.server)
+        elif kind is api.Tell:
+            if self.peers is not None:
+                self.peers.tell(action.data, action.peer)
+        elif kind is api.Watch:
+            if self.source is not None:
+                self.source.watch(action.on)
+        elif kind is api.Fetch:
+            if self.source is not None:
+                self.source.fetch()
+        elif kind is api.Log:
+            log.info("module", said=action.text)
+        else:
+            raise TypeError(f"no action: {action!r}")
+
+    # Requests
+
+    def take(self, door: Door, owed_to: Owed, call: Call) -> None:
+        """Take a request: from here on it is owed one final answer, which may come within this call."""
+        if self.lifecycle.turns_away:
+            self._turn_away(door, owed_to, call, Disposition.DECLINED, Reason.DRAINING)
+            return
+        if not door.names.claim(call.name):
+            self._turn_away(door, owed_to, call, Disposition.ABORTED, Reason.NAME_IN_USE)
+            return
+        held = Held(self.next_id, call, owed_to, door)
+        self.next_id += 1
+        self.held[held.id] = held
+        call.ticket = held.id
+        if len(self.held) > self.max_open:
+            self._finish(held, Verdict(Disposition.DECLINED, Reason.CROWDED))
+            return
+        held.uploading = not call.body.complete
+        if held.uploading:
+            call.body.on_spent = partial(self.post, api.Spent(held.id))
+        else:
+            self._set_guard(held)
+        self.post(
+            api.Request(
+                held.id,
+                call.cls,
+                call.tenant,
+                call.deadline_ns,
+                call.key,
+                call.cost_ns,
+                call.is_retry,
+                call.is_write,
+                held.uploading,
+            )
+        )
+
+    def body_ended(self, call: Call) -> None:
+        """The last byte of a request that was taken before has come: its time runs from now."""
+        held = self.held.get(call.ticket)
+        if held is None:
+            return
+        self._set_guard(held)
+        left = call.deadline_ns - ATTEMPT_MARGIN_NS - self.now()
+        for attempt in self._out(held):
+            if attempt.carriage is not None and held.relaying is not attempt:
+                attempt.carriage.wait(left / SECOND)
+
+    def body_broken(self, call: Call, disposition: Disposition, detail: object = None) -> None:
+        """A request that was taken before its body had come will never be whole: it can't have run."""
+        held = self.held.get(call.ticket)
+        if held is None:
+            return
+        if held.relaying is None:
+            self._finish(held, Verdict(disposition, Reason.BROKEN, detail=detail))
+        self._abandon(held)
+        self.post(api.Dropped(held.id))
+
+    def left(self, call: Call) -> None:
+        """The client of a request has gone: it is over, and what is out for it the module may call off."""
+        held = self.held.get(call.ticket)
+        if held is not None:
+            self._settle(held)
+            if log.debugs():
+                self._tell_verdict(held.door, call, Disposition.ABORTED, Reason.LEFT)
+            self._abandon(held)
+            self.post(api.Dropped(held.id))
+
+    def turned_away(self, door: Door, cls: int, disposition: Disposition) -> None:
+        """A front answered by itself what never became a request: it is counted all the same."""
+        self.stats.ended(cls, disposition, door.counts)
+
+    def _turn_away(
+        self, door: Door, owed_to: Owed, call: Call, disposition: Disposition, reason: Reason
+    ) -> None:
+        self.stats.ended(call.cls, disposition, door.counts)
+        if log.debugs():
+            self._tell_verdict(door, call, disposition, reason)
+        owed_to.verdict(call, Verdict(disposition, reason))
+
+    def _tell_verdict(self, door: Door, call: Call, disposition: Disposition, reason: Reason) -> None:
+        name = call.name.decode("latin-1") if isinstance(call.name, bytes) else str(call.name)
+        log.debug(
+            "verdict",
+            front=door.label,
+            request=name,
+            outcome=disposition.name.lower(),
+            reason=reason.value,
+        )
+
+    def _set_guard(self, held: Held) -> None:
+        left = max(held.call.deadline_ns - GUARD_MARGIN_NS - self.now(), 0)
+        held.timer = self.loop.call_later(left / SECOND, self._guard, held)
+
+    def _out(self, held: Held) -> list[Attempt]:
+        """Its attempts that have no end yet."""
+        numbers = range(held.attempts)
+        return [self.attempts[held.id, n] for n in numbers if (held.id, n) in self.attempts]
+
+    def _abandon(self, held: Held) -> None:
+        """Give up what is out for a request whose client or body is gone."""
+        for attempt in self._out(held):
+            if attempt.carriage is not None and (held.uploading or held.relaying is attempt):
+                attempt.carriage.give_up(Status.CANCELLED)
+
+    def _guard(self, held: Held) -> None:
+        """Time is up: whatever the module still plans, the client gets its answer now."""
+        if not held.owed or held.relaying is not None:
+            return
+        for attempt in self._out(held):
+            if attempt.carriage is not None:
+                attempt.carriage.give_up(Status.TIMEOUT)
+            else:  # it failed while it was being made, with nothing written
+                self.end_attempt(held, attempt, Status.MOOT, None, ())
+        if held.owed:
+            disposition = Disposition.ABORTED if held.may_have_run else Disposition.DECLINED
+            self._finish(held, Verdict(disposition, Reason.OUT_OF_TIME))
+            self.post(api.Dropped(held.id))
+
+    def _finish(self, held: Held, verdict: Verdict) -> None:
+        """Give the one final answer."""
+        self._settle(held)
+        self.stats.ended(held.call.cls, verdict.disposition, held.door.counts)
+        if log.debugs():
+            self._tell_verdict(held.door, held.call, verdict.disposition, verdict.reason)
+        held.owed_to.verdict(held.call, verdict)
+
+    def _settle(self, held: Held) -> None:
+        held.owed = False
+        held.door.names.ended(held.call.name)
+        self.held.pop(held.id, None)
+        if held.timer is not None:
+            held.timer.cancel()
+        # Guards servers against a request without its body, which goes with the answer: what still waits
+        # for a connection is not sent any more.
+        for attempt in self._out(held):
+            if attempt.carriage is not None and not attempt.carriage.begun:
+                attempt.carriage.give_up(Status.CANCELLED)
+
+    def _decided(self, ident: int, verdict: Verdict) -> None:
+        held = self.held.get(ident)
+        if held is not None:
+            self._finish(held, verdict)
+
+    # Attempts
+
+    def _send(self, action: api.Send) -> None:
+        held = self.held.get(action.id)
+        if held is None:
+            return  # over already: the module was told, or will be by an event in the queue
+        now = self.now()
+        attempt = Attempt(self, held, held.attempts, action.server, now)
+        held.attempts += 1
+        self.attempts[held.id, attempt.number] = attempt
+        call = held.call
+        flowing = not call.body.complete
+        last = call.wait_ns if flowing else call.deadline_ns - ATTEMPT_MARGIN_NS - now
+        wait = min(action.timeout_ns, last) if action.timeout_ns > 0 else last
+        if held.attempts > self.settings.max_attempts or wait <= 0 or call.body.spent:
+            self.end_attempt(held, attempt, Status.MOOT, None, ())
+            return
+        timeout = None if flowing else wait / SECOND
+        attempt.carriage = held.door.carrier.start(action.server, call, wait, timeout, attempt)
+
+    def written(self, held: Held, attempt: Attempt) -> None:
+        """The last byte of an attempt has been written."""
+        self.stats.forwarded()
+        if held.uploading:
+            held.uploading = False
+            attempt.sent_ns = self.now()
+            self.post(api.Uploaded(held.id, held.call.deadline_ns))
+
+    def begin_answer(self, held: Held, attempt: Attempt, head: object, length: int | None) -> bool:
+        """An answer begins to reach the client; from here on it has no deadline, only a pace."""
+        if not held.owed or held.relaying is not None or attempt.carriage is None:
+            return False
+        held.relaying = attempt
+        held.may_have_run = True
+        if held.timer is not None:
+            held.timer.cancel()
+        attempt.carriage.wait_no_more()
+        attempt.answered_ns = self.now()
+        held.owed_to.begin(held.call, head, length, attempt.carriage.pause)
+        took = attempt.answered_ns - attempt.sent_ns
+        self.post(api.StreamStarted(held.id, attempt.number, attempt.server, took))
+        return True
+
+    def end_attempt(
+        self, held: Held, attempt: Attempt, status: Status, answer: object, report: tuple[float, ...]
+    ) -> None:
+        """An attempt has ended: a served answer reaches the client, the module hears of all."""
+        self.attempts.pop((held.id, attempt.number), None)
+        if status not in NEVER_RAN:
+            held.may_have_run = True
+        if log.debugs():
+            self._tell_attempt(held, attempt, status)
+        if status is Status.OK and held.owed and held.relaying is None:
+            self._finish(held, Verdict(Disposition.SUCCEEDED, Reason.ANSWERED, answer))
+        if held.relaying is attempt and held.owed:
+            self._end_answer(held, whole=status is Status.OK)
+        took = (attempt.answered_ns or self.now()) - attempt.sent_ns
+        self.post(api.Outcome(held.id, attempt.number, attempt.server, status, took, not held.owed, report))
+
+    def _end_answer(self, held: Held, whole: bool) -> None:
+        self._settle(held)
+        disposition = Disposition.SUCCEEDED if whole else Disposition.ABORTED
+        self.stats.ended(held.call.cls, disposition, held.door.counts)
+        if log.debugs():
+            self._tell_verdict(held.door, held.call, disposition, Reason.ANSWERED if whole else Reason.CUT)
+        held.owed_to.end(held.call, whole)
+
+    def _tell_attempt(self, held: Held, attempt: Attempt, status: Status) -> None:
+        name = held.call.name
+        log.debug(
+            "attempt",
+            front=held.door.label,
+            request=name.decode("latin-1") if isinstance(name, bytes) else str(name),
+            attempt=attempt.number,
+            server=attempt.server,
+            status=status.name.lower(),
+        )
+
+    def _cancel(self, action: api.Cancel) -> None:
+        attempt = self.attempts.get((action.id, action.attempt))
+        if attempt is not None and attempt.carriage is not None:
+            attempt.carriage.give_up(Status.CANCELLED)
+
+    def _probe(self, server: int) -> None:
+        started = self.now()
+
+        def done(status: Status, report: tuple[float, ...]) -> None:
+            self.post(api.ProbeResult(server, status, self.now() - started, report))
+
+        self.carriers[0].probe(server, PROBE_TIMEOUT, done)
+
+    # The list of servers
+
+    def on_news(self, news: News | None) -> None:
+        """A source has news; None: it has failed."""
+        if news is None:
+            self.post(api.Membership(api.ListKind.FAILED, 0, []))
+        else:
+            self._apply(news)
+
+    def _apply(self, news: News, kind: api.ListKind | None = None) -> None:
+        self.post(news.membership(kind))
+        self.fleet.apply(news)
+        # After changes too: on a day of replacements no whole list may ever come.
+        self.fleet.names.keep(set(self.balancer.servers) | set(self.fleet.listed))
+
+    def on_peer(self, sender: int, data: bytes) -> None:
+        self.post(api.PeerMessage(sender, data))
+
+    # Housekeeping and the end
+
+    def _sweep(self) -> None:
+        for carrier in self.carriers:
+            carrier.sweep()
+        for door in self.doors:
+            door.front.sweep()
+        self.loop.call_later(SWEEP_EVERY, self._sweep)
+
+    def _answer_all(self) -> None:
+        for held in list(self.held.values()):
+            self._guard(held)
+
+    # What operators ask and order
+
+    def healthy(self) -> bool:
+        return self.lifecycle.ready
+
+    def report(self) -> str:
+        gauges = Gauges(
+            outstanding=len(self.held),
+            discovered=len(self.fleet.listed),
+            ejected=self.balancer.ejected_count,
+        )
+        return render(self.stats, gauges)
+
+    def fail(self) -> bool:
+        return self.lifecycle.fail()
+
+    def ok(self) -> bool:
+        return self.lifecycle.ok()
+
+    def close(self) -> None:
+        """Let go of all sockets."""
+        self.lifecycle.close()
+        if self.source is not None:
+            self.source.close()
+        for carrier in self.carriers:
+            carrier.close()
+        if self.peers is not None:
+            self.peers.close()
+        for door in self.doors:
+            door.front.close()
--- /dev/null
+++ b/ochreflow/core/fleet.py
@@ -0,0 +1,114 @@
+"""The servers that are listed at present, and the numbers by which the module knows them."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from ..policy.interface import Endpoint, ListKind, Membership, State
+from .log import log
+from .ports import Address, Carrier
+
+NAMES_MOST = 256  # zones, and kinds, that are told apart
+
+
+@dataclass(slots=True)
+class Listed:
+    """One entry of a list, with what only carriers need."""
+
+    name: str
+    endpoint: Endpoint
+    address: Address
+    since_ms: int  # its last start, in Unix time; 0: long ago
+
+
+@dataclass(slots=True)
+class News:
+    """What a source tells: the whole list, or what has changed in it."""
+
+    version: int
+    complete: bool
+    entries: list[Listed]
+
+    def membership(self, kind: ListKind | None = None) -> Membership:
+        kind = kind or (ListKind.FULL if self.complete else ListKind.DELTA)
+        return Membership(kind, self.version, [entry.endpoint for entry in self.entries])
+
+
+class Names:
+    """The numbers by which the module knows servers, zones and kinds."""
+
+    def __init__(self, zones: list[str], kinds: list[str]) -> None:
+        self.servers: dict[str, int] = {}
+        self.zones = {name: number for number, name in enumerate(zones)}
+        self.kinds = {name: number for number, name in enumerate(kinds)}
+        self.next_server = 1
+
+    def server(self, name: str) -> int:
+        number = self.servers.get(name)
+        if number is None:
+            number = self.servers[name] = self.next_server
+            self.next_server += 1
+        return number
+
+    def zone(self, name: str) -> int:
+        return _number(self.zones, name)
+
+    def kind(self, name: str) -> int:
+        return _number(self.kinds, name)
+
+    def keep(self, numbers: set[int]) -> None:
+        """Forget servers that are known nowhere any more."""
+        self.servers = {name: number for name, number in self.servers.items() if number in numbers}
+
+
+def _number(known: dict[str, int], name: str) -> int:
+    # Guards the memory: lists that go on naming new zones or kinds get one number for all of these.
+    return known.setdefault(name, len(known)) if len(known) < NAMES_MOST else known.get(name, len(known))
+
+
+class Fleet:
+    """Owns the list as it is known now, and brings its changes to the carriers."""
+
+    def __init__(self, names: Names, carriers: Sequence[Carrier]) -> None:
+        self.names = names
+        self.carriers = carriers
+        self.listed: dict[int, Listed] = {}
+
+    def apply(self, news: News) -> None:
+        """Take news, after the module: what carriers then give up must not go to the same server again."""
+        if news.complete:
+            told = {entry.endpoint.server for entry in news.entries}
+            for server in [server for server in self.listed if server not in told]:
+                log.info("server_left", server=server, name=self.listed[server].name)
+                self._leave(server, self.listed[server])
+        for entry in news.entries:
+            self._apply_entry(entry)
+
+    def _apply_entry(self, entry: Listed) -> None:
+        endpoint = entry.endpoint
+        server, state = endpoint.server, endpoint.state
+        known = self.listed.get(server)
+        if known is None:
+            if state is State.GONE:
+                return
+            host, port = entry.address
+            log.info("server_known", name=entry.name, server=server, host=host, port=port)
+        else:
+            was_ready = known.endpoint.state is State.READY
+            if was_ready != (state is State.READY):
+                log.info("server_state", name=entry.name, server=server, state=state.name.lower())
+            if known.since_ms != entry.since_ms:
+                log.info("server_restarted", name=entry.name, server=server)
+        if state is State.GONE:
+            self._leave(server, entry)
+            return
+        self.listed[server] = entry
+        for carrier in self.carriers:
+            carrier.update(server, entry.address, entry.since_ms, state)
+
+    def _leave(self, server: int, entry: Listed) -> None:
+        del self.listed[server]
+        for carrier in self.carriers:
+            carrier.update(server, entry.address, entry.since_ms, State.GONE)
+            carrier.forget(server)
--- a/ochreflow/net/lifecycle.py
+++ b/ochreflow/core/lifecycle.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections.abc import Callable
 from enum import Enum
 
-from .clients import Clients
-
-log = logging.getLogger("ochreflow")
+from .limits import Descriptors
+from .log import log
+from .ports import Front
 
 ACCEPT_AFTER_TERM = 0.5  # seconds for which new connections still come after SIGTERM
 EMPTY_AFTER = 1.0  # seconds of a drain in which clients' next answers tell them to leave by themselves
@@ -32,18 +31,19 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        clients: Clients,
+        descriptors: Descriptors,
         longest_deadline: float,
         answer_all: Callable[[], None],
     ) -> None:
         self.loop = loop
-        self.clients = clients
+        self.descriptors = descriptors
+        self.fronts: list[Front] = []
         self.answer_all = answer_all
         self.kill_after = min(longest_deadline, DEADLINE_MOST) + KILL_AFTER_DEADLINE
         self.phase = Phase.STARTING
         self.emptying = False  # idle connections are closed, and what still comes is turned away
         self.sending_away = False  # the end is so near that clients do better elsewhere
-        self.server: asyncio.Server | None = None
+        self.accepting = False
         self.stopped: asyncio.Future[None] = loop.create_future()
         self.emptier: asyncio.TimerHandle | None = None
 
@@ -62,9 +62,14 @@
         """Whether a drain is so far on that a new request would hold it up."""
         return self.phase is Phase.DRAINING and self.emptying
 
-    def serve(self, server: asyncio.Server) -> None:
-        """The listening socket is open."""
-        self.server = server
+    @property
+    def connected(self) -> int:
+        """Clients of all fronts."""
+        return sum(front.connected for front in self.fronts)
+
+    def serve(self) -> None:
+        """The listening sockets are open."""
+        self.accepting = True
         if self.phase is Phase.STARTING:
             self.phase = Phase.SERVING
 
@@ -76,7 +81,7 @@
             return False
         if self.phase is not Phase.DRAINING:
             self.phase = Phase.DRAINING
-            log.info("draining: an operator empties this sidecar")
+            log.info("draining")
             self.emptier = self.loop.call_later(EMPTY_AFTER, self._empty)
         return True
 
@@ -87,13 +92,14 @@
         if self.phase is Phase.DRAINING:
             self.phase = Phase.SERVING
             self._stop_emptying()
-            log.info("serving again: the drain was undone")
+            log.info("undrained")
         return True
 
     def _empty(self) -> None:
         """Close what stands idle, again and again: a connection may have been busy until now."""
         self.emptying = True
-        self.clients.close_quiet()
+        for front in self.fronts:
+            front.close_quiet()
         self.emptier = self.loop.call_later(EMPTY_EVERY, self._empty)
         self._end_if_done()
 
@@ -115,8 +121,8 @@
             return
         self.phase = Phase.TERMINATING
         self._stop_emptying()
-        log.info("terminating: %d clients connected", len(self.clients.all))
-        taken_over = self.clients.descriptors.others > 0
+        log.info("terminating", clients=self.connected)
+        taken_over = self.descriptors.others > 0
         self.loop.call_later(ACCEPT_AFTER_TERM, self._stop_accepting)
         if taken_over:
             self.sending_away = True
@@ -126,16 +132,14 @@
         self.loop.call_later(max(self.kill_after - STOP_BEFORE_KILL, 0.0), self._stop)
 
     def _stop_accepting(self) -> None:
-        """Close the own descriptor only: another process may go on listening on the same socket."""
-        if self.server is not None:
-            self.server.close()
-        self.server = None
+        """Close the own descriptors only: another process may go on listening on the same socket."""
+        self._close_doors()
         if self.sending_away:
             self._empty()
 
     def _send_away(self) -> None:
         self.sending_away = True
-        if self.server is None:
+        if not self.accepting:
             self._empty()
 
     def client_left(self) -> None:
@@ -143,7 +147,7 @@
 
     def _end_if_done(self) -> None:
         """The end has come when nobody is connected any more: every answer has been flushed."""
-        if self.phase is Phase.TERMINATING and self.server is None and not self.clients.all:
+        if self.phase is Phase.TERMINATING and not self.accepting and not self.connected:
             self._stop()
 
     def _stop(self) -> None:
@@ -152,6 +156,9 @@
 
     def close(self) -> None:
         self._stop_emptying()
-        if self.server is not None:
-            self.server.close()
-        self.server = None
+        self._close_doors()
+
+    def _close_doors(self) -> None:
+        self.accepting = False
+        for front in self.fronts:
+            front.stop_accepting()
--- /dev/null
+++ b/ochreflow/core/log.py
@@ -0,0 +1,114 @@
+"""What the program says of itself: events by name, with typed fields, and a bound on how often.
+
+This is the one list of the events there are. How they are written is the affair of a sink that the
+process sets: plain lines by default, which need nothing but the standard library.
+"""
+
+from __future__ import annotations
+
+import sys
+import traceback
+from collections.abc import Callable
+from time import monotonic
+
+# What each event says in plain words. A field that has no place in the words is not lost: `text` adds it.
+EVENTS = {
+    "listening": "{name} listens at {host}:{port}",
+    "operators_listening": "operators are heard at {host}:{port}",
+    "draining": "draining: an operator empties this sidecar",
+    "undrained": "serving again: the drain was undone",
+    "terminating": "terminating: {clients} clients connected",
+    "server_known": "{name} is server {server} at {host}:{port}",
+    "server_state": "{name} ({server}) is {state}",
+    "server_restarted": "{name} ({server}) has restarted",
+    "server_left": "server {server} has left the list",
+    "directory_moved": "discovery is now at {host}:{port}",
+    "directory_failed": "discovery failed: {reason}",
+    "directory_back": "discovery answers again",
+    "handed_list_unreadable": "the list that was handed over is unreadable: {reason}",
+    "reload_refused": "the configuration stays as it was: {reason}",
+    "reload_taken": "the operator's file was read again: {changed}",
+    "overlap_unseen": "other processes of this sidecar are not seen: {reason}",
+    "overlap_unreadable": "another process said what can't be read; it is left alone",
+    "overlap_began": "process {process} serves beside this one",
+    "overlap_ended": "process {process} is gone",
+    "module": "{said}",
+    "verdict": "{front} request {request} {outcome}: {reason}",
+    "attempt": "{front} request {request} attempt {attempt} at server {server}: {status}",
+    "fault": "{reason}",
+}
+LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
+PER_SECOND = 100  # lines of one event; a list of servers may name some dozens at once
+
+Sink = Callable[[str, str, dict[str, object]], None]
+
+
+def text(event: str, fields: dict[str, object]) -> str:
+    """The plain words of an event."""
+    words = EVENTS.get(event, event)
+    said = words.format_map(fields) if "{" in words else words
+    rest = [f"{key}={value}" for key, value in fields.items() if f"{{{key}}}" not in words]
+    return " ".join([said, *rest])
+
+
+def plain(level: str, event: str, fields: dict[str, object]) -> None:
+    """One line on standard error, with the trace of an exception behind it."""
+    fields = dict(fields)
+    trace = fields.pop("trace", "")
+    print(f"{level.upper()} ochreflow: {text(event, fields)}", file=sys.stderr, flush=True)
+    if trace:
+        print(trace, file=sys.stderr, end="", flush=True)
+
+
+class Log:
+    """Where all parts write. An event over its bound is counted, and told with the next one let through."""
+
+    def __init__(self, sink: Sink = plain, clock: Callable[[], float] = monotonic) -> None:
+        self.clock = clock
+        self.use(sink)
+
+    def use(self, sink: Sink, least: str = "info", per_second: int = PER_SECOND) -> None:
+        """Write to this sink from now on, nothing below the level `least`."""
+        self.sink = sink
+        self.least = LEVELS[least]
+        self.per_second = per_second
+        self.windows: dict[str, list[float]] = {}  # by event: start of its second, written, held back
+
+    def debugs(self) -> bool:
+        """Whether debug events are written: what is said of each request must cost nothing else."""
+        return self.least <= LEVELS["debug"]
+
+    def write(self, level: str, event: str, fields: dict[str, object]) -> None:
+        if LEVELS[level] < self.least:
+            return
+        now = self.clock()
+        window = self.windows.setdefault(event, [now, 0, 0])
+        if now - window[0] >= 1.0:
+            window[0], window[1] = now, 0
+        if window[1] >= self.per_second:
+            window[2] += 1
+            return
+        window[1] += 1
+        if window[2]:
+            fields["held_back"] = int(window[2])
+            window[2] = 0
+        self.sink(level, event, fields)
+
+    def debug(self, event: str, **fields: object) -> None:
+        self.write("debug", event, fields)
+
+    def info(self, event: str, **fields: object) -> None:
+        self.write("info", event, fields)
+
+    def warning(self, event: str, **fields: object) -> None:
+        self.write("warning", event, fields)
+
+    def error(self, event: str, **fields: object) -> None:
+        self.write("error", event, fields)
+
+    def exception(self, event: str, **fields: object) -> None:
+        """An error with the trace of the exception that is being handled."""
+        self.write("error", event, {**fields, "trace": traceback.format_exc()})
+
+
+log = Log()
--- /dev/null
+++ b/ochreflow/core/ports.py
@@ -0,0 +1,187 @@
+"""The ports of the core: what it is to whom. No protocol is known here, only who owes what to whom.
+
+clients ─ Front ──take, body_ended, left──▶ Engine ──start, give up──▶ Carrier ─ servers
+             ◀──verdict, begin, part, end── (Owed)  ◀──written, begin, part, ended── (Watcher)
+                                              ▲ │ watch, fetch
+                                        news  │ ▼
+                                            Source ─ directory, files
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Hashable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from ..policy.interface import State, Status
+from .body import Body
+from .stats import Disposition
+
+Address = tuple[str, int]
+Pause = Callable[[bool], None]
+"""Backpressure on an answer that flows: True holds its source back, False lets it go on."""
+
+
+class Reason(Enum):
+    """Why a request ended as it did. Closed: each front has a wording for every one of them."""
+
+    ANSWERED = "answered"  # a server's whole answer
+    CUT = "cut"  # its answer had begun to reach the client and did not come to its end
+    DECIDED = "decided"  # the module gave it up
+    OUT_OF_TIME = "out_of_time"  # the last guard answered in the module's place
+    CROWDED = "crowded"  # more requests are open than may be
+    DRAINING = "draining"  # this sidecar is being emptied
+    NAME_IN_USE = "name_in_use"  # a request of this name is open or has just been
+    BROKEN = "broken"  # its body will never be whole
+    LEFT = "left"  # its client has gone
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """The one final answer to a request, for its front to word."""
+
+    disposition: Disposition
+    reason: Reason
+    answer: object = None  # where served: the server's answer, in the form of the carrier that brought it
+    retry_after_ns: int = 0  # when to return; 0: not told
+    detail: object = None  # what the front itself gave with `body_broken`
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A request as its front read it. Each front's own kind of call adds what its carrier needs."""
+
+    name: Hashable  # as the client named it; unique within the front while it is open
+    cls: int
+    tenant: int
+    key: int
+    wait_ns: int  # how long its client waits, from its last byte
+    deadline_ns: int  # on the clock; while its body is coming, as if that were through
+    cost_ns: int
+    is_retry: bool
+    is_write: bool
+    body: Body
+    ticket: int = field(init=False, default=0)  # the engine's number for it; 0: not taken
+
+
+class Owed(Protocol):
+    """Whoever is owed the answer to a request: a verdict, or a flowing answer from its begin to its end."""
+
+    def verdict(self, call: Call, verdict: Verdict) -> None: ...
+
+    def begin(self, call: Call, head: object, length: int | None, pause: Pause) -> None:
+        """A server's answer begins to flow. `length` in bytes; None where it is not known."""
+        ...
+
+    def part(self, call: Call, data: bytes) -> None: ...
+
+    def end(self, call: Call, whole: bool) -> None:
+        """The flowing answer has ended; one that is not whole must not look as if it were."""
+        ...
+
+
+class Watcher(Protocol):
+    """Whoever is told what becomes of an attempt: its carrier calls `ended` exactly once."""
+
+    def written(self) -> None:
+        """Its last byte has been written: from here on it may have run."""
+        ...
+
+    def begin(self, head: object, length: int | None) -> bool:
+        """An answer begins that flows; False if nobody wants it any more."""
+        ...
+
+    def part(self, data: bytes) -> None: ...
+
+    def ended(self, status: Status, answer: object, report: tuple[float, ...]) -> None:
+        """What its end proves, with the whole answer if there is one and was not flowing."""
+        ...
+
+
+class Carriage(Protocol):
+    """An attempt on its way."""
+
+    @property
+    def begun(self) -> bool:
+        """Whether a first byte of it has gone out."""
+        ...
+
+    def wait(self, seconds: float) -> None:
+        """Give it up after so long."""
+        ...
+
+    def wait_no_more(self) -> None: ...
+
+    def pause(self, paused: bool) -> None: ...
+
+    def give_up(self, status: Status) -> None:
+        """Stop waiting: it ends within this call, as `status` if it may have run."""
+        ...
+
+
+class Carrier(Protocol):
+    """Whatever carries attempts to servers in one protocol."""
+
+    def start(
+        self, server: int, call: Call, wait_ns: int, timeout: float | None, watcher: Watcher
+    ) -> Carriage:
+        """Send an attempt, which the server is told to answer within `wait_ns`.
+
+        Its end is told later, never from within this call. Without `timeout`, in seconds, it waits until
+        it is told to wait no longer: its body is still coming.
+        """
+        ...
+
+    def probe(
+        self, server: int, timeout: float, done: Callable[[Status, tuple[float, ...]], None]
+    ) -> None: ...
+
+    def update(self, server: int, address: Address, since_ms: int, state: State) -> None:
+        """Take news of a server: nothing new begins at one that is not ready."""
+        ...
+
+    def forget(self, server: int) -> None: ...
+
+    def close_idle(self, server: int) -> None: ...
+
+    def sweep(self) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class Front(Protocol):
+    """Whatever takes requests from clients in one protocol."""
+
+    @property
+    def connected(self) -> int:
+        """Clients that are connected, where the protocol knows connections."""
+        ...
+
+    def stop_accepting(self) -> None: ...
+
+    def close_quiet(self) -> None:
+        """Close every connection on which nothing is open, has begun or waits to be read."""
+        ...
+
+    def sweep(self) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class Source(Protocol):
+    """Whatever tells of servers. It tells by calling `Engine.on_news`."""
+
+    def watch(self, on: bool) -> None: ...
+
+    def fetch(self) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class Teller(Protocol):
+    """Whatever brings messages to other sidecars."""
+
+    def tell(self, data: bytes, peer: int | None) -> None: ...
+
+    def close(self) -> None: ...
--- a/ochreflow/stats.py
+++ b/ochreflow/core/stats.py
@@ -33,11 +33,17 @@
     def __init__(self, classes: Sequence[str]) -> None:
         self.classes = list(classes)
         self.results = [[0] * len(Disposition) for _ in self.classes]
+        self.fronts: dict[str, list[int]] = {}  # by label, the same results counted once more
         self.forwards = 0
 
-    def ended(self, cls: int, disposition: Disposition) -> None:
+    def open_front(self, label: str) -> list[int]:
+        """The counts of one front, by disposition: requests of all classes."""
+        return self.fronts.setdefault(label, [0] * len(Disposition))
+
+    def ended(self, cls: int, disposition: Disposition, front: list[int]) -> None:
         """The one final answer to a request has been decided."""
         self.results[cls][disposition] += 1
+        front[disposition] += 1
 
     def forwarded(self) -> None:
         """The last byte of an attempt has been written."""
@@ -51,6 +57,11 @@
         for name, counts in zip(stats.classes, stats.results, strict=True)
         for disposition in Disposition
     ]
+    lines += [
+        f"app.fronts.{label}.{disposition.name.lower()}={counts[disposition]}"
+        for label, counts in stats.fronts.items()
+        for disposition in Disposition
+    ]
     lines += [
         f"app.forwards={stats.forwards}",
         f"app.outstanding={gauges.outstanding}",
--- /dev/null
+++ b/ochreflow/http/calls.py
@@ -0,0 +1,40 @@
+"""Calls of the sidecar's own to one HTTP/1.1 service, such as a directory of servers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from ..core.limits import MB, Descriptors, Memory
+from ..core.ports import Address
+from ..policy.interface import State, Status
+from .upstream import Answer, Exchange, Upstreams
+
+CONNECT_WITHIN = 2.0
+IDLE_MOST = 30.0
+ANSWER_MOST = 4 * 1024 * 1024
+SERVICE = 0  # the one target
+
+
+class HttpCalls:
+    """Connections of its own: the cap on those to servers must never keep the list from being read."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address) -> None:
+        self.host = f"{address[0]}:{address[1]}"
+        self.upstreams = Upstreams(loop, Descriptors(1024), Memory(192 * MB), CONNECT_WITHIN, IDLE_MOST)
+        self.upstreams.update(SERVICE, address, 0, State.READY)
+
+    def get(self, target: str, within: float, done: Callable[[bytes | None, str], None]) -> None:
+        """Ask once; `done` hears the body of a 200, or None and what there was instead of one."""
+
+        def ended(_: Exchange, status: Status, answer: Answer | None) -> None:
+            if status is Status.OK and answer is not None:
+                done(answer.body, "")
+            else:
+                done(None, status.name if answer is None else f"answer {answer.code}")
+
+        payload = f"GET {target} HTTP/1.1\r\nHost: {self.host}\r\nAccept: application/json\r\n\r\n"
+        self.upstreams.start(SERVICE, Exchange(payload.encode(), ended, ANSWER_MOST), within)
+
+    def close(self) -> None:
+        self.upstreams.close()
--- /dev/null
+++ b/ochreflow/http/carrier.py
@@ -0,0 +1,75 @@
+"""Carries attempts to servers over HTTP/1.1."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..core.body import HOLD_MOST, Body
+from ..core.ports import Address, Call, Carriage, Watcher
+from ..policy.interface import State, Status
+from .grammar import HttpCall
+from .reports import Reports
+from .upstream import Answer, Exchange, Upstreams
+
+MS = 1_000_000
+
+
+class HttpCarrier:
+    def __init__(self, upstreams: Upstreams, report_columns: tuple[str, ...]) -> None:
+        self.upstreams = upstreams
+        self.reports = Reports(report_columns)
+        self.probe_path = b"/-/load" if report_columns else b"/-/healthy"
+
+    def start(
+        self, server: int, call: Call, wait_ns: int, timeout: float | None, watcher: Watcher
+    ) -> Carriage:
+        assert isinstance(call, HttpCall)
+        payload = self._payload(call, wait_ns)
+        body: Body | None = call.body
+        if not call.is_write and call.body.complete and not call.body.size:
+            payload, body = payload + b"\r\n", None
+
+        def done(_: Exchange, status: Status, answer: Answer | None) -> None:
+            report = ()
+            if answer is not None and answer.load and self.reports.columns:
+                report = self.reports.read(answer.load)
+            watcher.ended(status, answer, report)
+
+        exchange = Exchange(payload, done, HOLD_MOST, watcher.written, body, watcher)
+        self.upstreams.start(server, exchange, timeout)
+        return exchange
+
+    @staticmethod
+    def _payload(call: HttpCall, wait_ns: int) -> bytes:
+        """The head, without its end: only at the time of writing it is known how the body is framed."""
+        return b"%s %s HTTP/1.1\r\n%sX-Deadline: %dm\r\n" % (
+            call.method,
+            call.target,
+            b"".join(call.headers),
+            max(wait_ns // MS, 1),
+        )
+
+    def probe(self, server: int, timeout: float, done: Callable[[Status, tuple[float, ...]], None]) -> None:
+        def ended(_: Exchange, status: Status, answer: Answer | None) -> None:
+            report: tuple[float, ...] = ()
+            if answer is not None and self.reports.columns:
+                report = self.reports.read(answer.load or answer.body.strip())
+            done(status, report)
+
+        payload = b"GET %s HTTP/1.1\r\nHost: probe\r\n\r\n" % self.probe_path
+        self.upstreams.start(server, Exchange(payload, ended, HOLD_MOST), timeout)
+
+    def update(self, server: int, address: Address, since_ms: int, state: State) -> None:
+        self.upstreams.update(server, address, since_ms, state)
+
+    def forget(self, server: int) -> None:
+        self.upstreams.forget(server)
+
+    def close_idle(self, server: int) -> None:
+        self.upstreams.close_idle(server)
+
+    def sweep(self) -> None:
+        self.upstreams.sweep()
+
+    def close(self) -> None:
+        self.upstreams.close()
--- /dev/null
+++ b/ochreflow/http/clients.py
@@ -0,0 +1,144 @@
+"""The clients' connections all together: their share of descriptors, and how long each may take."""
+
+from __future__ import annotations
+
+from itertools import takewhile
+from time import monotonic
+from typing import Protocol
+
+from ..core.limits import Descriptors
+
+HEAD_MOST = 2.6  # seconds from connecting, or from a message's first byte, until its head has come
+BODY_RATE_LEAST = 32_000  # bytes of a body a second, looked at as seldom: clients may send 64 kB a second
+IDLE_MOST = 2.0  # seconds that a connection is kept with no request open
+FEW = 0.25  # of the clients' share: when more than that have sent nothing, it is no burst of the usual ones
+STALE = 0.5  # seconds without a byte, with a message owed: slow clients write a piece more often
+YOUNG = 0.02  # seconds in which a new connection's first request may well be on its way
+
+
+class Client(Protocol):
+    """What is asked of a client's connection here."""
+
+    begun: bool  # a message has begun and not ended
+    head_ended: bool  # since `Clients` last looked
+    asked: bool  # whether it has ever sent a whole message
+    paused: bool
+    size: int
+
+    @property
+    def serving(self) -> bool: ...
+
+    @property
+    def idle(self) -> bool: ...
+
+    @property
+    def quiet(self) -> bool: ...
+
+    def came_since_look(self) -> int | None: ...
+
+    def expire(self) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class Clients:
+    """Every connection is in `waited` while a message is owed, in `idle` when nothing is, or in neither.
+
+    Those in `waited` are in `heard` too, by their latest byte. All are in the order of time, so that
+    looking after them costs nothing for those that are in time.
+    """
+
+    def __init__(self, descriptors: Descriptors) -> None:
+        self.descriptors = descriptors
+        self.all: dict[Client, None] = {}
+        self.waited: dict[Client, float] = {}
+        self.heard: dict[Client, float] = {}
+        self.idle: dict[Client, float] = {}
+
+    def add(self, client: Client) -> None:
+        """Take up a new connection; over the clients' share, one of them goes."""
+        self.all[client] = None
+        self.descriptors.held += 1
+        self.descriptors.connected += 1
+        self.waited[client] = self.heard[client] = monotonic()
+        if len(self.all) > self.descriptors.clients:
+            other = self._one_to_leave(client)
+            self._forget(other)
+            other.close()
+
+    def remove(self, client: Client) -> None:
+        self._forget(client)
+        if client in self.all:
+            del self.all[client]
+            self.descriptors.held -= 1
+            self.descriptors.connected -= 1
+
+    def _forget(self, client: Client) -> None:
+        for places in (self.waited, self.heard, self.idle):
+            places.pop(client, None)
+
+    def place(self, client: Client) -> None:
+        """Note what a connection does now: after it was read, and after an answer."""
+        self.idle.pop(client, None)
+        if client not in self.all:
+            return
+        if client.begun:
+            if client.head_ended:
+                client.head_ended = False
+                self.waited.pop(client, None)  # a body has a time of its own
+            now = monotonic()
+            self.waited.setdefault(client, now)
+            self.heard.pop(client, None)
+            self.heard[client] = now
+        elif client.asked:
+            self.waited.pop(client, None)
+            self.heard.pop(client, None)
+            if client.idle:
+                self.idle[client] = monotonic()
+
+    def _one_to_leave(self, new: Client) -> Client:
+        """Guards the usual clients, slow ones too, against those that connect by hundreds and say nothing.
+
+        First goes who owes a message and has long sent no byte of it; then, where many have sent nothing
+        at all, one of these; then who was answered longest ago and can come again.
+        """
+        now = monotonic()
+        owing = [client for client in self.heard if not client.serving]  # the new one at the latest
+        if self.heard[owing[0]] <= now - STALE:
+            return owing[0]
+        mute = [client for client in owing if not client.size and not client.asked]
+        if len(mute) > self.descriptors.clients * FEW:
+            return mute[0]
+        quiet = next((client for client in self.idle if client.quiet), None)
+        if quiet is not None:
+            return quiet
+        return mute[0] if self.heard[mute[0]] <= now - YOUNG else owing[0]
+
+    def sweep(self) -> None:
+        """Guards descriptors and memory against clients that never end a message or never come back."""
+        now = monotonic()
+        for client in _since(self.waited, now - HEAD_MOST):
+            came = client.came_since_look()
+            # What is not being read may have come long ago.
+            if client.paused or came is None or came >= BODY_RATE_LEAST * (now - self.waited[client]):
+                del self.waited[client]
+                self.waited[client] = now
+            else:
+                self._forget(client)
+                client.expire()
+        for client in _since(self.idle, now - IDLE_MOST):
+            if client.quiet:
+                client.close()
+
+    def close_quiet(self) -> None:
+        """Close every connection on which nothing is open, has begun or waits to be read.
+
+        Not one that has never asked: its first request may be on its way, and its time is short anyway.
+        """
+        for client in list(self.all):
+            if client.asked and client.quiet:
+                client.close()
+
+
+def _since(places: dict[Client, float], time: float) -> list[Client]:
+    return [client for client, _ in takewhile(lambda place: place[1] <= time, places.items())]
--- a/ochreflow/net/front.py
+++ b/ochreflow/http/connection.py
@@ -1,27 +1,23 @@
-"""The application's side: reads requests, hands them to the engine, writes one answer to each."""
+"""A client's connection: reads requests, hands them to the core, writes one answer to each."""
 
 from __future__ import annotations
 
 import asyncio
-import re
 import socket
 import struct
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass
-from hashlib import blake2b
-from typing import TYPE_CHECKING
 
 import httptools
 
-from ..interface import Effect, Settings
-from ..stats import Disposition
-from .body import HOLD_MOST, Body
+from ..core.body import HOLD_MOST, Body
+from ..core.engine import SECOND, Door, Engine
+from ..core.ports import Call, Pause, Reason, Verdict
+from ..core.stats import Disposition
+from .clients import Clients
+from .grammar import Grammar, HttpCall, RequestError
 from .progress import Patience, unread
-from .upstream import HOP_BY_HOP
-
-if TYPE_CHECKING:
-    from .engine import Engine
+from .upstream import HOP_BY_HOP, Answer
 
 BODY_MOST = 40 * 1024 * 1024  # messages reach 32 MB
 HEADERS_MOST = 32 * 1024
@@ -29,9 +25,6 @@
 WAITING_MOST = 16  # requests that a client may send ahead of their answers before it is read no further
 SLOW_READER = 5.0  # seconds in which a client may take nothing of an answer
 LINGER = 2.0  # seconds in which a rejected client may still send, unheard, and read why
-DEADLINE = re.compile(rb"(\d{1,12}(?:\.\d{1,9})?)([mu])")
-DEADLINE_UNITS = {b"m": 1_000_000, b"u": 1_000}
-COST = re.compile(rb"\d{1,12}(?:\.\d{1,9})?")
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -49,41 +42,27 @@
 READY_TARGET = b"/-/ready"
 # Twice or in two forms, each reader may believe another one.
 SINGLE = frozenset(
-    (b"x-request-id", b"idempotency-key", b"x-deadline", b"x-key", b"x-tenant", b"transfer-encoding")
+    (
+        b"host",
+        b"x-request-id",
+        b"idempotency-key",
+        b"x-deadline",
+        b"x-key",
+        b"x-tenant",
+        b"transfer-encoding",
+    )
 )
 NOT_PASSED_ON = HOP_BY_HOP | {b"expect", b"x-deadline"}
-
-
-class RequestError(Exception):
-    """A request that is answered here and never reaches the module."""
-
-    def __init__(self, code: int, text: str, cls: int | None = None) -> None:
-        super().__init__(text)
-        self.code = code
-        self.cls = cls  # where it could be told; only then it counts as a request
-        self.keep_alive = True
-
-
-@dataclass(slots=True)
-class Call:
-    """A request as the client sent it."""
-
-    ident: bytes  # as the client named it
-    method: bytes
-    target: bytes
-    headers: list[bytes]  # whole lines, as they go on
-    body: Body
-    cls: int
-    tenant: int
-    key: int
-    wait_ns: int  # how long its client waits, from its last byte
-    deadline_ns: int  # on the clock; while its body is coming, as if that were through
-    cost_ns: int
-    is_retry: bool
-    keep_alive: bool
-    size: int = 0  # of what is held of it beside the body
-    old: bool = False  # HTTP/1.0: knows no chunks
-    ticket: int = 0  # the engine's number for it
+# How a verdict without a server's answer is worded, by whether trying again is harmless.
+WORDED = {
+    (Disposition.DECLINED, Reason.DECIDED): (503, b"refused\n"),
+    (Disposition.ABORTED, Reason.DECIDED): (502, b"failed\n"),
+    (Disposition.DECLINED, Reason.OUT_OF_TIME): (503, b"refused: out of time\n"),
+    (Disposition.ABORTED, Reason.OUT_OF_TIME): (504, b"failed: out of time\n"),
+    (Disposition.DECLINED, Reason.CROWDED): (503, b"too many open requests\n"),
+    (Disposition.DECLINED, Reason.DRAINING): (503, b"draining\n"),
+    (Disposition.ABORTED, Reason.NAME_IN_USE): (409, b"a request with this id is open or has just been\n"),
+}
 
 
 @dataclass(slots=True)
@@ -93,7 +72,7 @@
     chunked: bool
     keep_alive: bool
     by_end: bool  # only the connection's end delimits it
-    pause: Callable[[bool], None]  # tells its source to hold back
+    pause: Pause  # tells its source to hold back
 
 
 @dataclass(slots=True)
@@ -103,13 +82,6 @@
     keep_alive: bool
 
 
-def _parse_deadline(value: bytes) -> int:
-    match = DEADLINE.fullmatch(value.strip())
-    if match is None:
-        raise RequestError(400, "X-Deadline is no number with a unit m or u")
-    return int(float(match[1]) * DEADLINE_UNITS[match[2]])
-
-
 def disposition(code: int) -> Disposition:
     """What a client takes an answer for."""
     if code == 200:
@@ -126,87 +98,47 @@
     )
 
 
-class Grammar:
-    """What the settings say of requests: which classes and tenants there are."""
-
-    def __init__(self, settings: Settings) -> None:
-        self.specs = settings.classes
-        self.classes = {spec.name.encode(): number for number, spec in enumerate(settings.classes)}
-        self.tenants = {tenant.name.encode(): number for number, tenant in enumerate(settings.tenants)}
-
-    def read(
-        self,
-        now: int,
-        method: bytes,
-        target: bytes,
-        headers: dict[bytes, bytes],
-        lines: list[bytes],
-        body: Body,
-        keep_alive: bool,
-    ) -> Call:
-        path = target
-        if not path.startswith(b"/"):  # the absolute form, as to a proxy
-            try:
-                path = httptools.parse_url(target).path or b"/"
-            except httptools.HttpParserInvalidURLError:
-                raise RequestError(400, "the target is no path") from None
-        name = path[1:].split(b"/", 1)[0].split(b"?", 1)[0]
-        cls = self.classes.get(name)
-        if cls is None:
-            raise RequestError(404, "unknown class")
-        spec = self.specs[cls]
-        if method != (b"GET" if spec.effect is Effect.SAFE else b"POST"):
-            raise RequestError(405, "the method is not that of the class", cls)
-        ident = headers.get(b"x-request-id")
-        if not ident:
-            raise RequestError(400, "X-Request-Id is missing", cls)
-        # Guards the rule on effects: without the key no server could drop a repeat.
-        if spec.effect is Effect.KEYED and not headers.get(b"idempotency-key"):
-            raise RequestError(400, "Idempotency-Key is missing", cls)
-        wait = spec.deadline_ns
-        if (value := headers.get(b"x-deadline")) is not None:
-            # The class's deadline covers all tries; a client that states more does not wait for it.
-            wait = min(wait, _parse_deadline(value))
-        tenant = 0
-        if self.tenants and (value := headers.get(b"x-tenant")) is not None:
-            if value not in self.tenants:
-                raise RequestError(400, "unknown tenant")
-            tenant = self.tenants[value]
-        cost = 0
-        if (value := headers.get(b"x-cost-hint")) is not None:
-            if COST.fullmatch(value) is None:
-                raise RequestError(400, "X-Cost-Hint is no number")
-            cost = int(float(value) * 1000)
-        key = 0
-        if value := headers.get(b"x-key"):
-            key = int.from_bytes(blake2b(value, digest_size=8).digest(), "little")
-        return Call(
-            ident,
-            method,
-            target,
-            lines,
-            body,
-            cls,
-            tenant,
-            key,
-            wait,
-            now + wait,
-            cost,
-            headers.get(b"x-retry") == b"1",
-            keep_alive,
-        )
-
-
-class Front(asyncio.Protocol):
-    """A client's connection: one request after another, one answer to each in their order."""
-
-    def __init__(self, engine: Engine) -> None:
-        self.engine = engine
+def _lines(answer: Answer) -> bytes:
+    return b"".join(b"%s: %s\r\n" % header for header in answer.headers)
+
+
+def _worded(verdict: Verdict) -> tuple[int, bytes, bytes]:
+    """Code, header lines and body."""
+    answer = verdict.answer
+    if verdict.disposition is Disposition.SUCCEEDED:
+        assert isinstance(answer, Answer)
+        return 200, _lines(answer), answer.body
+    if verdict.reason is Reason.BROKEN:
+        code, body = verdict.detail  # type: ignore[misc]  # as `_reject` gave it
+        return code, b"", body
+    code, body = WORDED[verdict.disposition, verdict.reason]
+    headers = b""
+    if verdict.retry_after_ns > 0:
+        headers = b"Retry-After: %.3f\r\n" % (verdict.retry_after_ns / SECOND)
+    return code, headers, body
+
+
+@dataclass(frozen=True, slots=True)
+class Shared:
+    """What all connections of the front have in common."""
+
+    engine: Engine
+    door: Door
+    clients: Clients
+    grammar: Grammar
+
+
+class ClientConnection(asyncio.Protocol):
+    """One request after another, one answer to each in their order. It is what the core owes them to."""
+
+    def __init__(self, shared: Shared) -> None:
+        self.shared = shared
+        self.engine = shared.engine
         self.parser = httptools.HttpRequestParser(self)
         self.transport: asyncio.Transport | None = None
-        self.waiting: deque[Call | Ready | RequestError] = deque()
-        self.current: Call | None = None
-        self.flowing: Call | None = None  # taken up before its body had come
+        self.waiting: deque[HttpCall | Ready | RequestError] = deque()
+        self.current: HttpCall | None = None
+        self.flowing: HttpCall | None = None  # taken up before its body had come
         self.passing: Passing | None = None
         self.ending = False  # closes when the message that is still coming is through
         self.pumping = False
@@ -244,6 +176,10 @@
         """Whether it can be closed without harm: no request waits, no answer is still on its way out."""
         return self.current is None and not self.waiting and not self.unread and not self.deaf
 
+    @property
+    def serving(self) -> bool:
+        return self.current is not None
+
     @property
     def quiet(self) -> bool:
         """Whether nothing has begun either, not even in what the system holds unread."""
@@ -263,7 +199,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
         self.transport.set_write_buffer_limits(high=0)
-        self.engine.clients.add(self)
+        self.shared.clients.add(self)
 
     def data_received(self, data: bytes) -> None:
         if self.deaf or self.closed:
@@ -282,7 +218,7 @@
         if self.size > (BODY_MOST * FRAMING_MOST if self.in_body else HEADERS_MOST):
             self._reject(431, "headers are too long")
         self._pump()
-        self.engine.clients.place(self)
+        self.shared.clients.place(self)
 
     def expire(self) -> None:
         """Its message has not come to an end in time; what it was taken for before is answered first."""
@@ -304,7 +240,7 @@
         self.engine.memory.release(self.held_size)
         self.held_size = 0
         call, self.current = self.current, None
-        for body in (self.body, *(item.body for item in (call, *self.waiting) if isinstance(item, Call))):
+        for body in (self.body, *(item.body for item in (call, *self.waiting) if isinstance(item, HttpCall))):
             if body is not None:
                 body.drop()
         self.waiting.clear()
@@ -312,7 +248,10 @@
         # Guards the memory: the two refer to each other, and a day of ever new connections would leave
         # them all to the collector, which comes seldom.
         del self.parser
-        self.engine.disconnected(self, call)
+        self.shared.clients.remove(self)
+        if call is not None:
+            self.engine.left(call)
+        self.engine.lifecycle.client_left()
 
     def pause_writing(self) -> None:
         # Guards the memory against clients that ask and do not read.
@@ -330,7 +269,7 @@
         if self.passing is not None:
             self.passing.pause(False)
         self._pump()
-        self.engine.clients.place(self)
+        self.shared.clients.place(self)
         if self.engine.lifecycle.emptying and self.quiet:
             self.close()
 
@@ -366,6 +305,9 @@
         self.looked_at = 0
         if self.header_size + len(self.target) > HEADERS_MOST:
             self._reject(431, "headers are too long")
+        elif chunked and self.parser.get_http_version() == "1.0":
+            # Such a message's framing is faulty (RFC 9112, 6.1): where it ends can't be believed.
+            self._reject(400, "HTTP/1.0 knows no Transfer-Encoding")
         elif self.headers.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
             self._reject(501, "Transfer-Encoding must be chunked")
         elif stated > BODY_MOST:
@@ -417,14 +359,14 @@
         """Queue the message that has come, or whose body is still coming."""
         assert self.body is not None
         keep_alive = self.parser.should_keep_alive()
-        item: Call | Ready | RequestError
+        item: HttpCall | Ready | RequestError
         if self.target == READY_TARGET:
             item = Ready(keep_alive)
         else:
             try:
                 if self.doubled:
                     raise RequestError(400, "a header came twice")
-                item = self.engine.grammar.read(
+                item = self.shared.grammar.read(
                     self.engine.now(),
                     self.parser.get_method(),
                     self.target,
@@ -439,7 +381,7 @@
                 problem.keep_alive = keep_alive
                 item = problem
         self.waiting.append(item)
-        if not isinstance(item, Call):
+        if not isinstance(item, HttpCall):
             self._release(self.message_size)
             self.skipping = True
             self.body.drop()
@@ -480,7 +422,7 @@
             self.waiting.append(RequestError(code, text))
         elif call is not None and call is self.current:
             call.keep_alive = False
-            self.engine.body_broken(call, code, text)
+            self.engine.body_broken(call, disposition(code), (code, f"{text}\n".encode()))
         elif call in self.waiting:
             self._release(call.size)
             self.waiting[self.waiting.index(call)] = RequestError(code, text, call.cls)
@@ -495,64 +437,63 @@
         try:
             while self.waiting and self.current is None and not self.unread and not self.closed:
                 item = self.waiting.popleft()
-                if type(item) is Call and self.engine.lifecycle.turns_away:
-                    self._let_go(item)
-                    self._respond(503, b"", b"draining\n", False, item.cls)
-                elif type(item) is Call and self.engine.claim(item):
+                if type(item) is HttpCall:
                     self.current = item
-                    self.engine.take(self, item)
-                elif type(item) is Call:
-                    self._let_go(item)
-                    text = b"a request with this id is open or has just been\n"
-                    self._respond(409, b"", text, item.keep_alive, item.cls)
+                    self.engine.take(self.shared.door, self, item)
                 elif type(item) is Ready:
                     ok = self.engine.lifecycle.ready
                     text = b"ready\n" if ok else b"not ready\n"
                     self._respond(200 if ok else 503, b"", text, item.keep_alive)
                 else:
+                    if item.cls is not None:
+                        self.engine.turned_away(self.shared.door, item.cls, disposition(item.code))
                     keep_alive = item.keep_alive and not self.deaf
-                    self._respond(item.code, b"", f"{item}\n".encode(), keep_alive, item.cls)
+                    self._respond(item.code, b"", f"{item}\n".encode(), keep_alive)
         finally:
             self.pumping = False
         self._update_reading()
 
-    def answer(self, call: Call, code: int, headers: bytes, body: bytes) -> None:
+    # What the core owes: see `Owed`
+
+    def verdict(self, call: Call, verdict: Verdict) -> None:
         """The final answer to the request that is being served."""
-        if self.current is not call:
+        current = self.current
+        if current is not call or current is None:
             return
         self.current = None
-        self._let_go(call)
-        self._respond(code, headers, body, call.keep_alive, call.cls)
+        self._let_go(current)
+        keep_alive = current.keep_alive and verdict.reason is not Reason.DRAINING
+        self._respond(*_worded(verdict), keep_alive)
         self._pump()
-        self.engine.clients.place(self)
+        self.shared.clients.place(self)
 
-    def begin_answer(
-        self, call: Call, code: int, headers: bytes, length: int | None, pause: Callable[[bool], None]
-    ) -> None:
+    def begin(self, call: Call, head: object, length: int | None, pause: Pause) -> None:
         """The final answer has begun to come, and goes on to the client from its first bytes."""
-        if self.current is not call:
+        current = self.current
+        if current is not call or current is None:
             return
-        chunked = length is None and not call.old
-        keep_alive = self._keeps(call.keep_alive) and (length is not None or chunked)
+        assert isinstance(head, Answer)
+        headers = _lines(head)
+        chunked = length is None and not current.old
+        keep_alive = self._keeps(current.keep_alive) and (length is not None or chunked)
         self.passing = Passing(chunked, keep_alive, length is None and not chunked, pause)
         if chunked:
             headers += b"Transfer-Encoding: chunked\r\n"
         elif length is not None:
             headers += b"Content-Length: %d\r\n" % length
-        self._write(_head(code, headers, keep_alive))
+        self._write(_head(200, headers, keep_alive))
 
-    def answer_part(self, call: Call, data: bytes) -> None:
+    def part(self, call: Call, data: bytes) -> None:
         if self.current is call and self.passing is not None:
             self._write(b"%x\r\n%s\r\n" % (len(data), data) if self.passing.chunked else data)
 
-    def end_answer(self, call: Call, whole: bool) -> None:
+    def end(self, call: Call, whole: bool) -> None:
         """The answer has ended; one that is not whole must not look as if it were."""
-        passing = self.passing
-        if self.current is not call or passing is None:
+        current, passing = self.current, self.passing
+        if current is not call or current is None or passing is None:
             return
         self.current = self.passing = None
-        self._let_go(call)
-        self.engine.stats.ended(call.cls, Disposition.SUCCEEDED if whole else Disposition.ABORTED)
+        self._let_go(current)
         if not whole:
             self._break_off()
             return
@@ -561,7 +502,7 @@
         if not passing.keep_alive:
             self._leave()
         self._pump()
-        self.engine.clients.place(self)
+        self.shared.clients.place(self)
 
     def _break_off(self) -> None:
         if self.transport is not None and not self.transport.is_closing():
@@ -570,7 +511,7 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             self.close()
 
-    def _let_go(self, call: Call) -> None:
+    def _let_go(self, call: HttpCall) -> None:
         """Of what was held of a request; what still comes of it is read and thrown away."""
         self._release(call.size)
         call.body.drop()
@@ -581,11 +522,7 @@
     def _keeps(self, keep_alive: bool) -> bool:
         return keep_alive and not (self.engine.lifecycle.leaving and not self.waiting)
 
-    def _respond(
-        self, code: int, headers: bytes, body: bytes, keep_alive: bool, cls: int | None = None
-    ) -> None:
-        if cls is not None:
-            self.engine.stats.ended(cls, disposition(code))
+    def _respond(self, code: int, headers: bytes, body: bytes, keep_alive: bool) -> None:
         keep_alive = self._keeps(keep_alive)
         headers += b"Content-Length: %d\r\n" % len(body)
         self._write(_head(code, headers, keep_alive) + body)
--- /dev/null
+++ b/ochreflow/http/front.py
@@ -0,0 +1,49 @@
+"""The HTTP/1.1 front as a whole: where clients connect, and how all of their connections are looked after."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..core.engine import Engine
+from ..core.ports import Carrier
+from .clients import Clients
+from .connection import ClientConnection, Shared
+from .grammar import Grammar
+
+LABEL = "http"
+
+
+class HttpFront:
+    def __init__(self, engine: Engine, carrier: Carrier) -> None:
+        self.clients = Clients(engine.descriptors)
+        self.door = engine.open_door(LABEL, self, carrier)
+        self.shared = Shared(engine, self.door, self.clients, Grammar(engine.settings))
+        self.servers: list[asyncio.Server] = []
+
+    def connection(self) -> ClientConnection:
+        """The protocol for a new connection."""
+        return ClientConnection(self.shared)
+
+    def listen(self, server: asyncio.Server) -> None:
+        """Own a listening socket, whose connections `connection` makes."""
+        self.servers.append(server)
+
+    @property
+    def connected(self) -> int:
+        return len(self.clients.all)
+
+    def stop_accepting(self) -> None:
+        for server in self.servers:
+            server.close()
+        self.servers.clear()
+
+    def close_quiet(self) -> None:
+        self.clients.close_quiet()
+
+    def sweep(self) -> None:
+        self.clients.sweep()
+
+    def close(self) -> None:
+        self.stop_accepting()
+        for client in list(self.clients.all):
+            client.close()
--- a/ochreflow/net/reports.py
+++ b/ochreflow/http/reports.py
@@ -4,7 +4,7 @@
 
 import re
 
-from ..settings import canonical_column
+from ..policy.settings import canonical_column
 
 FIGURE = re.compile(rb"\d{1,9}(?:\.\d{1,9})?")  # plain numbers: no sign, no exponent, nothing endless
 
--- a/ochreflow/net/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -18,9 +18,9 @@
 
 import httptools
 
-from ..interface import State, Status
-from .body import Body
-from .limits import Descriptors, Memory
+from ..core.body import Body
+from ..core.limits import Descriptors, Memory
+from ..policy.interface import State, Status
 from .progress import Patience
 
 HEADERS_MOST = 32 * 1024
@@ -77,6 +77,7 @@
         "body",
         "connection",
         "done",
+        "loop",
         "opening",
         "paused",
         "payload",
@@ -104,11 +105,17 @@
         self.connection: Connection | None = None  # once the first byte has gone out
         self.opening: asyncio.Task[None] | None = None  # while a connection is being made
         self.timer: asyncio.TimerHandle | None = None
+        self.loop: asyncio.AbstractEventLoop | None = None  # from its start on
 
     @property
     def ended(self) -> bool:
         return self.done is None
 
+    @property
+    def begun(self) -> bool:
+        """Whether a first byte has gone out."""
+        return self.connection is not None
+
     def end(self, status: Status, answer: Answer | None = None) -> None:
         # Guards the memory as well: who waits refers to this, and would else be left to the collector.
         done, self.done = self.done, None
@@ -118,11 +125,11 @@
         self.written = self.relay = None  # they refer to this as well
         done(self, status, answer)
 
-    def wait(self, loop: asyncio.AbstractEventLoop, seconds: float) -> None:
+    def wait(self, seconds: float) -> None:
         """Give it up after so long."""
         self.wait_no_more()
-        if not self.ended:
-            self.timer = loop.call_later(max(seconds, 0.001), self.give_up, Status.TIMEOUT)
+        if not self.ended and self.loop is not None:
+            self.timer = self.loop.call_later(max(seconds, 0.001), self.give_up, Status.TIMEOUT)
 
     def wait_no_more(self) -> None:
         if self.timer is not None:
@@ -150,6 +157,18 @@
         self.end(status)
 
 
+def _chunk(data: bytes | bytearray) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data) if data else b""
+
+
+def _framed(body: Body) -> bytes:
+    """The end of the head, which says how the body is framed, and all that is held of it."""
+    if body.complete or body.length is not None:
+        length = len(body.held) if body.complete else body.length
+        return b"Content-Length: %d\r\n\r\n%s" % (length, body.held)
+    return b"Transfer-Encoding: chunked\r\n\r\n" + _chunk(body.held)
+
+
 class Target:
     """A server as an address with its connections."""
 
@@ -174,6 +193,7 @@
         self.exchange: Exchange | None = None
         self.blocked = False  # something waits for the socket
         self.uploading: Body | None = None  # more of this body comes
+        self.chunking = False  # it goes out in chunks
         self.patience: Patience | None = None  # with a server that does not read
         self.held_back = False  # not read at present: the answer's client is slower
         self.closed = False
@@ -244,14 +264,13 @@
             self.exchange.written()
 
     def body_part(self, data: bytes) -> None:
-        self._write(data)
+        self._write(_chunk(data) if self.chunking else data)
 
     def body_end(self) -> None:
         assert self.uploading is not None
-        trailer = self.uploading.trailer
         self.uploading = None
-        if trailer:
-            self._write(trailer)
+        if self.chunking:
+            self._write(b"0\r\n\r\n")
         if not self.blocked:
             self._tell_written()
 
@@ -437,7 +456,7 @@
         except OSError:
             return False
         body = exchange.body
-        payload = exchange.payload if body is None else exchange.payload + body.so_far()
+        payload = exchange.payload if body is None else exchange.payload + _framed(body)
         try:
             sent = self.sock.send(payload)
         except BlockingIOError:
@@ -449,6 +468,7 @@
         exchange.connection = self
         if body is not None and not body.complete:
             self.uploading = body
+            self.chunking = body.length is None
             body.flow(self)
         if sent < len(payload):
             self._write(memoryview(payload)[sent:])
@@ -567,8 +587,9 @@
         if target is None or not target.takes_new:
             self.loop.call_soon(exchange.end, Status.CONNECT_FAILED)
             return
+        exchange.loop = self.loop
         if timeout is not None:
-            exchange.wait(self.loop, timeout)
+            exchange.wait(timeout)
         while target.idle:
             connection = target.idle.pop()
             if connection.send(exchange):
--- /dev/null
+++ b/ochreflow/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Where the list of servers comes from."""
--- a/ochreflow/net/discovery.py
+++ b/ochreflow/membership/directory.py
@@ -4,99 +4,36 @@
 
 import asyncio
 import json
-import logging
-import socket
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from functools import partial
 from time import monotonic
+from typing import Protocol
 
-from ..interface import Endpoint, ListKind, Membership, State, Status
-from .limits import MB, Descriptors, Memory
-from .upstream import Answer, Exchange, Upstreams
-
-log = logging.getLogger("ochreflow.discovery")
+from ..core.address import split_address
+from ..core.fleet import Listed, Names, News
+from ..core.log import log
+from ..core.ports import Address
+from ..policy.interface import Endpoint, State
 
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 WATCH_MS = 20_000
 ANSWER_WITHIN = 3.5  # seconds beyond a watch's own wait: discovery works through calls in turn
-CONNECT_WITHIN = 2.0
-LIST_MOST = 4 * 1024 * 1024
 CALLS_APART = 0.1  # seconds between calls that are answered at once with nothing new
 PUSHED_AGAIN = 0.5  # seconds until the agent on the own machine is asked again after a failure
-NAMES_MOST = 256  # zones, and kinds, that are told apart
-DISCOVERY = 0  # the one target of the calls' own connections
 
 
 class ListError(ValueError):
     """What came is no list of servers."""
 
 
-@dataclass(slots=True)
-class Listed:
-    """One entry, with what only the sockets need."""
-
-    name: str
-    endpoint: Endpoint
-    address: tuple[str, int]
-    since_ms: int
-
-
-@dataclass(slots=True)
-class News:
-    """One answer of discovery."""
-
-    version: int
-    complete: bool
-    entries: list[Listed]
-
-    def membership(self, kind: ListKind | None = None) -> Membership:
-        kind = kind or (ListKind.FULL if self.complete else ListKind.DELTA)
-        return Membership(kind, self.version, [entry.endpoint for entry in self.entries])
-
-
-class Names:
-    """The numbers by which the module knows servers, zones and kinds."""
-
-    def __init__(self, zones: list[str], kinds: list[str]) -> None:
-        self.servers: dict[str, int] = {}
-        self.zones = {name: number for number, name in enumerate(zones)}
-        self.kinds = {name: number for number, name in enumerate(kinds)}
-        self.next_server = 1
+class Calls(Protocol):
+    """How a directory at one address is asked."""
 
-    def server(self, name: str) -> int:
-        number = self.servers.get(name)
-        if number is None:
-            number = self.servers[name] = self.next_server
-            self.next_server += 1
-        return number
+    def get(self, target: str, within: float, done: Callable[[bytes | None, str], None]) -> None:
+        """Ask once; `done` hears the answer, or None and the reason. Times in seconds."""
+        ...
 
-    def zone(self, name: str) -> int:
-        return _number(self.zones, name)
-
-    def kind(self, name: str) -> int:
-        return _number(self.kinds, name)
-
-    def keep(self, numbers: set[int]) -> None:
-        """Forget servers that are known nowhere any more."""
-        self.servers = {name: number for name, number in self.servers.items() if number in numbers}
-
-
-def _number(known: dict[str, int], name: str) -> int:
-    # Guards the memory: lists that go on naming new zones or kinds get one number for all of these.
-    return known.setdefault(name, len(known)) if len(known) < NAMES_MOST else known.get(name, len(known))
-
-
-def split_address(text: object, least_port: int = 1) -> tuple[str, int]:
-    """A numeric address as host and port; ValueError if it is none."""
-    host, _, port = str(text).rpartition(":")
-    try:
-        socket.inet_pton(socket.AF_INET, host)
-    except OSError:
-        raise ValueError(f"no address: {text!r}") from None
-    if not (port.isascii() and port.isdigit() and least_port <= int(port) < 65536):
-        raise ValueError(f"no address: {text!r}")
-    return host, int(port)
+    def close(self) -> None: ...
 
 
 def read_news(data: object, names: Names) -> News:
@@ -157,19 +94,21 @@
     return listed, str(entry.get("zone", "")), str(entry.get("type", ""))
 
 
-class Discovery:
+class Directory:
     """Watches and fetches when told to; any failure is news of its own and ends no watcher for good."""
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        address: tuple[str, int],
+        calls: Callable[[Address], Calls],
+        address: Address,
         names: Names,
         version: int,
         heard: Callable[[News | None], None],
         pushed: bool,
     ) -> None:
         self.loop = loop
+        self.calls_to = calls
         self.names = names
         self.version: int | None = version  # None: a whole list is wanted first
         self.heard = heard
@@ -180,14 +119,8 @@
         self.called = 0.0
         self.failing = False
         self.closed = False
-        self._connect(address)
-
-    def _connect(self, address: tuple[str, int]) -> None:
         self.address = address
-        self.host = f"{address[0]}:{address[1]}"
-        # Connections of its own: the cap on those to servers must never keep the list from being read.
-        self.calls = Upstreams(self.loop, Descriptors(1024), Memory(192 * MB), CONNECT_WITHIN, 30.0)
-        self.calls.update(DISCOVERY, address, 0, State.READY)
+        self.calls = calls(address)
 
     def turn(self, address: tuple[str, int]) -> None:
         """Go over to another discovery at once, with a whole list first.
@@ -197,9 +130,9 @@
         """
         if self.closed or address == self.address:
             return
-        log.info("discovery is now at %s:%d", *address)
-        old = self.calls
-        self._connect(address)
+        log.info("directory_moved", host=address[0], port=address[1])
+        old, self.address = self.calls, address
+        self.calls = self.calls_to(address)
         old.close()
         self.version = None
         self.watching = False
@@ -227,23 +160,20 @@
         self._call(target, within, partial(self._watched, number))
 
     def _call(self, target: str, within: float, done: Callable[[News | None, str], None]) -> None:
-        payload = f"GET {target} HTTP/1.1\r\nHost: {self.host}\r\nAccept: application/json\r\n\r\n".encode()
         calls, taken = self.calls, self.taken
 
-        def ended(_: Exchange, status: Status, answer: Answer | None) -> None:
+        def ended(body: bytes | None, reason: str) -> None:
             if calls is not self.calls or self.closed:
-                return  # an answer of a discovery that has been left
-            news, reason = None, status.name
-            if status is Status.OK and answer is not None:
+                return  # an answer of a directory that has been left
+            news = None
+            if body is not None:
                 try:
-                    news = self._in_order(read_news(json.loads(answer.body), self.names), taken)
+                    news = self._in_order(read_news(json.loads(body), self.names), taken)
                 except (ValueError, RecursionError) as error:
                     reason = str(error)
-            elif answer is not None:
-                reason = f"answer {answer.code}"
             done(news, reason)
 
-        calls.start(DISCOVERY, Exchange(payload, ended, LIST_MOST), within)
+        calls.get(target, within, ended)
 
     def _in_order(self, news: News, taken: int) -> News:
         """Guards the list against answers that come after a newer one to a later call."""
@@ -286,9 +216,9 @@
         if self.failing != (news is None):
             self.failing = news is None
             if self.failing:
-                log.warning("discovery failed: %s", reason)
+                log.warning("directory_failed", reason=reason)
             else:
-                log.info("discovery answers again")
+                log.info("directory_back")
 
     def _take(self, news: News | None) -> None:
         if news is not None:
--- a/ochreflow/net/peers.py
+++ b/ochreflow/membership/peers.py
@@ -5,9 +5,9 @@
 import asyncio
 from collections.abc import Callable
 
-DATAGRAM_MOST = 256
+from ..core.ports import Address
 
-Address = tuple[str, int]
+DATAGRAM_MOST = 256
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -42,3 +42,7 @@
                 self.transport.sendto(data, self.everyone)
         elif 0 <= peer < len(self.peers):
             self.transport.sendto(data, self.peers[peer])
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
--- a/ochreflow/net/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The real sidecar's sockets round the decision module."""
--- a/ochreflow/logic.py
+++ b/ochreflow/policy/logic.py
@@ -1,4 +1,4 @@
-"""Every decision of a sidecar. The types it takes and returns are in `ochreflow/interface.py`.
+"""Every decision of a sidecar. The types it takes and returns are in `ochreflow/policy/interface.py`.
 
 Reading order: tunables, records, then `Balancer`: events, picking, sending, retrying, health, cold
 servers, admission, the server list. The ordinary path of a request is `_on_request` -> `_pick` ->
--- a/ochreflow/wirehost.py
+++ b/ochreflow/wirehost.py
@@ -11,9 +11,9 @@
 import traceback
 from typing import BinaryIO
 
-from . import interface as api
-from .logic import Balancer
-from .settings import SettingError, parse_settings
+from .policy import interface as api
+from .policy.logic import Balancer
+from .policy.settings import SettingError, parse_settings
 
 HEADER = struct.Struct("<QI")
 REPLY = struct.Struct("<II")
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -1,6 +1,6 @@
 """The four rules, judged from outside by what went in and what came out. Shares no code with the module."""
 
-from ochreflow.interface import (
+from ochreflow.policy.interface import (
     Cancel,
     Effect,
     Fail,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,7 +1,7 @@
 """Small settings and events for the tests."""
 
 from ochreflow import Balancer
-from ochreflow.interface import (
+from ochreflow.policy.interface import (
     Effect,
     Endpoint,
     ListKind,
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -9,8 +9,8 @@
 
 import uvloop
 
-from ochreflow.__main__ import read_config, start_engine
-from ochreflow.net.front import Front
+from ochreflow.app.config import read_config
+from ochreflow.app.sidecar import Sidecar as Parts
 
 HOST = "127.0.0.1"
 MS = 1_000_000
@@ -186,23 +186,23 @@
     return data
 
 
-class Sidecar:
-    """An engine with its listening socket in the test's loop."""
+class Sidecar(Parts):
+    """A sidecar with its listening socket in the test's loop."""
 
     def __init__(self, path, data):
         path.write_text(json.dumps(data))
-        self.engine = start_engine(asyncio.get_running_loop(), read_config(str(path)))
+        super().__init__(asyncio.get_running_loop(), read_config(str(path)))
         self.port = 0
 
     async def __aenter__(self):
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(lambda: Front(self.engine), HOST, 0)
-        self.engine.lifecycle.serve(server)
+        server = await asyncio.get_running_loop().create_server(self.http.connection, HOST, 0)
+        self.http.listen(server)
+        self.engine.lifecycle.serve()
         self.port = server.sockets[0].getsockname()[1]
         return self
 
     async def __aexit__(self, *_):
-        self.engine.close()
+        self.close()
 
 
 def message(cls, ident="9b1f03aa5c7e2d41", deadline="3000m", body=b"", *lines):
--- /dev/null
+++ b/tests/test_http_forms.py
@@ -0,0 +1,105 @@
+"""Odd and hostile forms of HTTP/1.1 requests: each is answered as the standard says, and reaches a server
+only where it is one whole request whose end everybody reads alike."""
+
+import asyncio
+
+import pytest
+from net_helpers import HOST, WAIT, Fake, Sidecar, answer_ok, config, entry, message, news, read_message, run
+
+HEAD = b"X-Request-Id: ab\r\n"
+HOSTS = b"Host: origin.svc\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+ABC = b"3\r\nabc\r\n0\r\n\r\n"
+
+
+def form(line=b"POST /order HTTP/1.1", fields=b"", body=b"", head=HOSTS + HEAD):
+    return line + b"\r\n" + head + fields + b"\r\n" + body
+
+
+FORMS = {  # name: what is sent, the code of the answer, the body that a server gets (None: it gets nothing)
+    "get": (form(b"GET /lookup HTTP/1.1"), 200, b""),
+    "absolute target": (form(b"GET http://origin.svc/lookup HTTP/1.1"), 200, b""),
+    "empty lines in front": (b"\r\n\r\n" + form(b"GET /lookup HTTP/1.1"), 200, b""),
+    "1.0": (form(b"POST /order HTTP/1.0", b"Content-Length: 3\r\n", b"abc"), 200, b"abc"),
+    "1.0 without host": (form(b"GET /lookup HTTP/1.0", head=HEAD), 200, b""),
+    "length": (form(fields=b"Content-Length: 3\r\n", body=b"abc"), 200, b"abc"),
+    "length with noughts": (form(fields=b"Content-Length: 003\r\n", body=b"abc"), 200, b"abc"),
+    "no body at all": (form(fields=b"Content-Length: 0\r\n"), 200, b""),
+    "chunks": (form(fields=CHUNKED, body=ABC), 200, b"abc"),
+    "chunks by any case": (form(fields=b"transfer-encoding: CHUNKED\r\n", body=ABC), 200, b"abc"),
+    "chunk extension": (form(fields=CHUNKED, body=b"3;a=b\r\nabc\r\n0\r\n\r\n"), 200, b"abc"),
+    "trailer": (form(fields=CHUNKED, body=b"3\r\nabc\r\n0\r\nX-Key: z\r\n\r\n"), 200, b"abc"),
+    "header without a value": (form(fields=b"X-Empty:\r\nContent-Length: 0\r\n"), 200, b""),
+    "two hosts": (form(fields=b"Host: other\r\nContent-Length: 0\r\n"), 400, None),
+    "two hosts alike": (form(fields=HOSTS + b"Content-Length: 0\r\n"), 400, None),
+    "two hosts, 1.0": (form(b"GET /lookup HTTP/1.0", b"host: other\r\n"), 400, None),
+    "1.0 in chunks": (form(b"POST /order HTTP/1.0", CHUNKED, ABC), 400, None),
+    "1.0 in chunks, kept alive": (
+        form(b"POST /order HTTP/1.0", b"Connection: keep-alive\r\n" + CHUNKED, ABC),
+        400,
+        None,
+    ),
+    "1.0 in chunks with a length": (
+        form(b"POST /order HTTP/1.0", b"Content-Length: 3\r\n" + CHUNKED, ABC),
+        400,
+        None,
+    ),
+    "length and chunks": (form(fields=b"Content-Length: 13\r\n" + CHUNKED, body=ABC), 400, None),
+    "two lengths": (form(fields=b"Content-Length: 3\r\nContent-Length: 4\r\n", body=b"abcd"), 400, None),
+    "length in a list": (form(fields=b"Content-Length: 3, 3\r\n", body=b"abc"), 400, None),
+    "length below nought": (form(fields=b"Content-Length: -3\r\n", body=b"abc"), 400, None),
+    "length with a sign": (form(fields=b"Content-Length: +3\r\n", body=b"abc"), 400, None),
+    "length in hex": (form(fields=b"Content-Length: 0x3\r\n", body=b"abc"), 400, None),
+    "other coding": (form(fields=b"Transfer-Encoding: gzip, chunked\r\n", body=ABC), 501, None),
+    "coding twice": (form(fields=CHUNKED + CHUNKED, body=ABC), 400, None),
+    "chunk size no number": (form(fields=CHUNKED, body=b"x\r\nabc\r\n0\r\n\r\n"), 400, None),
+    "chunk size below nought": (form(fields=CHUNKED, body=b"-3\r\nabc\r\n0\r\n\r\n"), 400, None),
+    "chunk longer than said": (form(fields=CHUNKED, body=b"2\r\nabc\r\n0\r\n\r\n"), 400, None),
+    "space before the colon": (form(fields=b"Content-Length : 3\r\n", body=b"abc"), 400, None),
+    "folded line": (form(fields=b"X-Folded: a\r\n b\r\nContent-Length: 0\r\n"), 400, None),
+    "no colon": (form(fields=b"nothing\r\nContent-Length: 0\r\n"), 400, None),
+    "nought in a value": (form(fields=b"X-Nought: a\x00b\r\nContent-Length: 0\r\n"), 400, None),
+    "another version": (form(b"POST /order HTTP/3.1", b"Content-Length: 0\r\n"), 400, None),
+    "the preface of HTTP/2": (b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 400, None),
+    "no target": (form(b"GET HTTP/1.1"), 400, None),
+    "a method of its own": (form(b"STEAL /order HTTP/1.1"), 400, None),
+    "upgrade": (form(b"GET /lookup HTTP/1.1", b"Connection: Upgrade\r\nUpgrade: h2c\r\n"), 400, None),
+}
+
+
+@pytest.mark.parametrize("name", FORMS)
+def test_each_form_is_answered_as_the_standard_says(tmp_path, name):
+    data, code, passed_on = FORMS[name]
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            # A second request right behind it: where the first one's end is not known, it must not be read.
+            writer.write(data + message("lookup", "hidden"))
+            async with asyncio.timeout(WAIT):
+                assert (await read_message(reader)).code == code
+                if passed_on is None:
+                    rest = await reader.read()
+                    assert not rest or rest.startswith(b"HTTP/1.1 200")
+                writer.close()
+            got = [seen for seen in fake.got if seen.headers["x-request-id"] == "ab"]
+            assert [seen.body for seen in got] == ([] if passed_on is None else [passed_on])
+
+    run(play())
+
+
+@pytest.mark.parametrize("name", ["1.0 in chunks, kept alive", "length and chunks", "chunk longer than said"])
+def test_nothing_behind_a_message_without_a_sure_end_is_read(tmp_path, name):
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(FORMS[name][0] + message("lookup", "hidden"))
+            async with asyncio.timeout(WAIT):
+                answer = await read_message(reader)
+                assert answer.headers["connection"] == "close" and await reader.read() == b""
+            assert not fake.got
+            writer.close()
+
+    run(play())
--- a/tests/test_little.py
+++ b/tests/test_little.py
@@ -3,7 +3,7 @@
 from helpers import MS, SECOND, START, endpoint, kinds, play_timers, request, send_one, serve
 from helpers import make as make_any
 
-from ochreflow.interface import (
+from ochreflow.policy.interface import (
     Dropped,
     Effect,
     Endpoint,
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -21,9 +21,10 @@
     until,
 )
 
-from ochreflow.net import lifecycle, management
-from ochreflow.net.management import Management
-from ochreflow.stats import Disposition, Gauges, Stats, render
+from ochreflow.core import lifecycle
+from ochreflow.core.stats import Disposition, Gauges, Stats, render
+from ochreflow.http import management
+from ochreflow.http.management import Management
 
 READY = b"GET /-/ready HTTP/1.1\r\n\r\n"
 
@@ -53,7 +54,8 @@
 
 def test_rendering_lists_every_class_from_nought():
     stats = Stats(["a", "b"])
-    stats.ended(1, Disposition.DECLINED)
+    stats.open_front("http")
+    stats.ended(1, Disposition.DECLINED, stats.open_front("lines"))
     stats.forwarded()
     assert render(stats, Gauges(outstanding=3, discovered=2, ejected=1)).splitlines() == [
         "app.results.a.succeeded=0",
@@ -62,6 +64,12 @@
         "app.results.b.succeeded=0",
         "app.results.b.declined=1",
         "app.results.b.aborted=0",
+        "app.fronts.http.succeeded=0",
+        "app.fronts.http.declined=0",
+        "app.fronts.http.aborted=0",
+        "app.fronts.lines.succeeded=0",
+        "app.fronts.lines.declined=1",
+        "app.fronts.lines.aborted=0",
         "app.forwards=1",
         "app.outstanding=3",
         "app.discovered=2",
@@ -192,7 +200,7 @@
             held = asyncio.create_task(ask(sidecar.port, message("order", "held")))
             whole = message("order", "half", "3000m", b"body")
             half_writer.write(whole[:30])
-            await until(lambda: any(front.begun for front in sidecar.engine.clients.all))
+            await until(lambda: any(front.begun for front in sidecar.http.clients.all))
             assert (await ask(port, call("POST", "/healthcheck/fail"))).code == 200
             assert (await ask(port, call("GET", "/healthcheck"))).code == 503
             assert (await ask(sidecar.port, READY)).code == 503
@@ -205,7 +213,7 @@
             assert (await ask(sidecar.port, message("order", "later"))).code == 503
             go.set()
             assert (await held).headers["connection"] == "close"
-            await until(lambda: not sidecar.engine.clients.all)
+            await until(lambda: not sidecar.http.clients.all)
             assert (await ask(port, call("POST", "/healthcheck/ok"))).code == 200
             assert (await ask(sidecar.port, READY)).code == 200
             got = await ask(sidecar.port, message("order", "again"))
@@ -234,13 +242,13 @@
         fake = await Fake(answer_ok).start()
         async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
             reader, writer = await asyncio.open_connection(HOST, sidecar.port)
-            await until(lambda: sidecar.engine.clients.all)
-            (front,) = sidecar.engine.clients.all
+            await until(lambda: sidecar.http.clients.all)
+            (front,) = sidecar.http.clients.all
             assert front.quiet
             front.transport.pause_reading()
             writer.write(message("order", "unread"))
             await until(lambda: not front.quiet)
-            sidecar.engine.clients.close_quiet()
+            sidecar.http.clients.close_quiet()
             front.transport.resume_reading()
             assert (await read_message(reader)).code == 200
             writer.close()
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -20,9 +20,18 @@
     until,
 )
 
-from ochreflow.interface import State
-from ochreflow.net import discovery
-from ochreflow.net.discovery import Discovery, ListError, Names, read_news, split_address
+from ochreflow.core import fleet
+from ochreflow.core.address import split_address
+from ochreflow.core.fleet import Names
+from ochreflow.core.log import log
+from ochreflow.http.calls import HttpCalls
+from ochreflow.membership import directory
+from ochreflow.membership.directory import Directory, ListError, read_news
+from ochreflow.policy.interface import State
+
+
+def calls(address):
+    return HttpCalls(asyncio.get_running_loop(), address)
 
 
 def names():
@@ -69,8 +78,8 @@
     ids=["503", "bad-json", "deep-json", "bad-entry", "bad-list", "cut-off", "reset", "hang"],
 )
 def test_a_broken_call_is_told_as_failed_and_the_next_watch_works(trouble, monkeypatch):
-    monkeypatch.setattr(discovery, "WATCH_MS", 200)
-    monkeypatch.setattr(discovery, "ANSWER_WITHIN", 0.3)
+    monkeypatch.setattr(directory, "WATCH_MS", 200)
+    monkeypatch.setattr(directory, "ANSWER_WITHIN", 0.3)
 
     async def play():
         async def act(message, reader, writer):
@@ -80,8 +89,8 @@
 
         fake = await Fake(act).start()
         heard = []
-        watcher = Discovery(
-            asyncio.get_running_loop(), (HOST, fake.port), names(), 40, heard.append, pushed=False
+        watcher = Directory(
+            asyncio.get_running_loop(), calls, (HOST, fake.port), names(), 40, heard.append, pushed=False
         )
         watcher.watch(True)
         await until(lambda: heard)
@@ -94,22 +103,28 @@
     run(play())
 
 
-def test_an_outage_is_logged_once_and_so_is_its_end(caplog):
+def test_an_outage_is_logged_once_and_so_is_its_end(monkeypatch):
     async def play():
         async def act(message, reader, writer):
             writer.write(reply(503, b"") if len(fake.got) < 4 else listing(41))
 
         fake = await Fake(act).start()
         heard = []
-        asker = Discovery(asyncio.get_running_loop(), (HOST, fake.port), names(), 0, heard.append, False)
+        asker = Directory(
+            asyncio.get_running_loop(), calls, (HOST, fake.port), names(), 0, heard.append, False
+        )
         for count in range(1, 6):
             asker.fetch()
             await until(lambda: len(heard) == count)  # noqa: B023
         asker.close()
 
-    caplog.set_level("INFO", "ochreflow.discovery")
+    said = []
+    monkeypatch.setattr(log, "sink", lambda level, event, fields: said.append((level, event, fields)))
     run(play())
-    assert caplog.messages == ["discovery failed: answer 503", "discovery answers again"]
+    assert said == [
+        ("warning", "directory_failed", {"reason": "answer 503"}),
+        ("info", "directory_back", {}),
+    ]
 
 
 def test_a_watch_goes_on_by_itself_from_the_latest_version():
@@ -124,8 +139,8 @@
         times = []
         fake = await Fake(act).start()
         heard = []
-        watcher = Discovery(
-            asyncio.get_running_loop(), (HOST, fake.port), names(), 40, heard.append, pushed=False
+        watcher = Directory(
+            asyncio.get_running_loop(), calls, (HOST, fake.port), names(), 40, heard.append, pushed=False
         )
         watcher.watch(True)
         watcher.watch(True)  # no second one beside it
@@ -141,7 +156,9 @@
     async def play():
         fake = await Fake(say(listing(7))).start()
         heard = []
-        asker = Discovery(asyncio.get_running_loop(), (HOST, fake.port), names(), 0, heard.append, False)
+        asker = Directory(
+            asyncio.get_running_loop(), calls, (HOST, fake.port), names(), 0, heard.append, False
+        )
         asker.fetch()
         await until(lambda: heard)
         assert heard[0].complete and fake.got[0].first == "GET /api/targets HTTP/1.1"
@@ -151,7 +168,7 @@
 
 
 def test_pushed_lists_are_watched_again_after_a_failure_unasked(tmp_path, monkeypatch):
-    monkeypatch.setattr(discovery, "PUSHED_AGAIN", 0.01)
+    monkeypatch.setattr(directory, "PUSHED_AGAIN", 0.01)
 
     async def play():
         async def act(message, reader, writer):
@@ -165,7 +182,7 @@
         data = config(news(1), fake.address)
         data["settings"]["discovery"] = "push"
         async with Sidecar(tmp_path / "c", data) as sidecar:
-            await until(lambda: sidecar.engine.discovery.version == 41)
+            await until(lambda: sidecar.directory.version == 41)
         assert len(fake.got) >= 2
 
     run(play())
@@ -194,8 +211,7 @@
             held = asyncio.create_task(ask(sidecar.port, message("order", "ab")))
             await until(lambda: old.got)
             go.set()
-            engine = sidecar.engine
-            await until(lambda: engine.discovery.version == 2)
+            await until(lambda: sidecar.directory.version == 2)
             for number in range(5):
                 assert (await ask(sidecar.port, message("order", f"id{number}"))).body == b"served "
             finish.set()
@@ -209,11 +225,12 @@
     async def play():
         fake = await Fake(answer_ok).start()
         async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
-            engine = sidecar.engine
             assert (await ask(sidecar.port, message("lookup", "ab"))).code == 200
             for index in range(2, 50):
-                engine.on_news(read_news(news(index, entry(f"s{index}", fake.address)), engine.names))
-            assert len(engine.upstreams.targets) == 1 and len(engine.names.servers) <= 2
+                sidecar.engine.on_news(
+                    read_news(news(index, entry(f"s{index}", fake.address)), sidecar.names)
+                )
+            assert len(sidecar.upstreams.targets) == 1 and len(sidecar.names.servers) <= 2
             assert (await ask(sidecar.port, message("lookup", "cd"))).code == 200
 
     run(play())
@@ -251,7 +268,9 @@
         go = asyncio.Event()
         fake = await Fake(act).start()
         heard = []
-        both = Discovery(asyncio.get_running_loop(), (HOST, fake.port), names(), 40, heard.append, False)
+        both = Directory(
+            asyncio.get_running_loop(), calls, (HOST, fake.port), names(), 40, heard.append, False
+        )
         both.watch(True)
         await until(lambda: fake.got)
         both.fetch()
@@ -273,7 +292,9 @@
 
         fake = await Fake(act).start()
         heard = []
-        watcher = Discovery(asyncio.get_running_loop(), (HOST, fake.port), names(), 40, heard.append, False)
+        watcher = Directory(
+            asyncio.get_running_loop(), calls, (HOST, fake.port), names(), 40, heard.append, False
+        )
         watcher.watch(True)
         await until(lambda: heard)
         watcher.watch(True)
@@ -291,5 +312,5 @@
     assert not known.servers and len(known.zones) == 2
     for number in range(3000):
         read_news(news(1, {**entry("s1", f"{HOST}:7", zone=f"z{number}"), "type": f"k{number}"}), known)
-    assert len(known.zones) == len(known.kinds) == discovery.NAMES_MOST
+    assert len(known.zones) == len(known.kinds) == fleet.NAMES_MOST
     assert known.zone("a") == 0 and known.kind("std") == 0
--- a/tests/test_net_front.py
+++ b/tests/test_net_front.py
@@ -22,9 +22,10 @@
     until,
 )
 
-from ochreflow.net import clients, engine, front
-from ochreflow.net.limits import MB, Descriptors, Memory
-from ochreflow.net.peers import Peers
+from ochreflow.core import names
+from ochreflow.core.limits import MB, Descriptors, Memory
+from ochreflow.http import clients, connection
+from ochreflow.membership.peers import Peers
 
 ID = b"X-Request-Id: ab\r\n"
 
@@ -49,7 +50,7 @@
         (raw(b"GET /lookup", ID + b"X-Cost-Hint: much\r\n"), 400),
         (raw(b"POST /hold", ID + b"Content-Length: 0\r\n"), 400),
         (raw(b"POST /order", ID + b"Content-Length: x\r\n"), 400),
-        (raw(b"POST /order", ID + b"Content-Length: %d\r\n" % (front.BODY_MOST + 1)), 413),
+        (raw(b"POST /order", ID + b"Content-Length: %d\r\n" % (connection.BODY_MOST + 1)), 413),
         (raw(b"POST /order", ID + b"Content-Length: 99999999999999999999999\r\n"), 400),
         (raw(b"POST /order", ID + b"Transfer-Encoding: chunked\r\n", b"zz\r\n"), 400),
         (raw(b"GET /lookup", ID + b"Connection: Upgrade\r\nUpgrade: h2c\r\n"), 400),
@@ -77,7 +78,7 @@
             assert (await read_message(reader)).code == 200
             writer.close()
             assert [got.headers["x-request-id"] for got in fake.got] == ["before"]
-            await until(lambda: not sidecar.engine.clients.all)
+            await until(lambda: not sidecar.http.clients.all)
             assert sidecar.engine.memory.held == 0 and not sidecar.engine.descriptors.held - fake.connections
 
     run(play())
@@ -116,7 +117,7 @@
             chunks = b"3\r\nabc\r\n2\r\nde\r\n0\r\nX-Deadline: bad\r\n\r\n"
             data = raw(b"POST /order", ID + b"Transfer-Encoding: chunked\r\n", chunks)
             assert (await ask(sidecar.port, data)).body == b"abcde"
-            body = b"x" * front.BODY_MOST
+            body = b"x" * connection.BODY_MOST
             reader, writer = await asyncio.open_connection(HOST, sidecar.port)
             whole = message("order", "big", "3000m", body, "Expect: 100-continue")
             writer.write(whole[: -len(body)])
@@ -142,7 +143,7 @@
 
 def test_a_slow_reader_is_let_go_and_bounded(tmp_path, monkeypatch):
     """Guards the memory: what a client does not read is not piled up for it."""
-    monkeypatch.setattr(front, "SLOW_READER", 0.2)
+    monkeypatch.setattr(connection, "SLOW_READER", 0.2)
 
     async def play():
         async def big(message, reader, writer):
@@ -155,7 +156,7 @@
                 for n in range(2000):
                     writer.write(message("lookup", f"id{n}"))
                     await writer.drain()
-            await until(lambda: not sidecar.engine.clients.all)
+            await until(lambda: not sidecar.http.clients.all)
             assert len(fake.got) < 1000
             writer.transport.abort()
             assert (await ask(sidecar.port, message("lookup", "other"))).code == 200
@@ -182,7 +183,7 @@
         async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
             assert (await ask(sidecar.port, message("order", "a", "900m", b"x" * 3001))).code == 503
             assert (await ask(sidecar.port, message("order", "b", "900m", b"x" * 1000))).code == 200
-            await until(lambda: not sidecar.engine.clients.all)
+            await until(lambda: not sidecar.http.clients.all)
             assert sidecar.engine.memory.held == 0
 
     run(play())
@@ -217,7 +218,7 @@
 
 def test_a_planned_end_cuts_no_answer_that_is_being_read(tmp_path, monkeypatch):
     """Guards answers on their way out when idle clients are closed."""
-    monkeypatch.setattr(front, "SLOW_READER", 60.0)
+    monkeypatch.setattr(connection, "SLOW_READER", 60.0)
 
     async def play():
         async def big(message, reader, writer):
@@ -230,8 +231,8 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
             sock.setblocking(False)
             await loop.sock_connect(sock, (HOST, sidecar.port))
-            await until(lambda: sidecar.engine.clients.all)
-            (client,) = sidecar.engine.clients.all
+            await until(lambda: sidecar.http.clients.all)
+            (client,) = sidecar.http.clients.all
             sent = 0
             while not client.unread:  # until the kernel holds no more for it
                 await loop.sock_sendall(sock, message("lookup", f"id{sent}"))
@@ -302,10 +303,10 @@
                     writer.write(message("lookup", f"id{number}-{place}"))
                     assert (await read_message(reader)).code == 200
                 flood = [await asyncio.open_connection(HOST, sidecar.port) for _ in range(60)]
-                await until(lambda: len(sidecar.engine.clients.all) == sidecar.engine.descriptors.clients)
+                await until(lambda: len(sidecar.http.clients.all) == sidecar.engine.descriptors.clients)
                 for _, writer in flood:
                     writer.close()
-                await until(lambda: len(sidecar.engine.clients.all) == len(usual))
+                await until(lambda: len(sidecar.http.clients.all) == len(usual))
             assert fake.connections == 1 and not sidecar.engine.descriptors.full
             for _, writer in usual:
                 writer.close()
@@ -360,7 +361,7 @@
             assert (await read_message(held_reader)).code == 200
             assert (await read_message(held_reader)).code == 408
             held_writer.close()
-            await until(lambda: not sidecar.engine.clients.all)
+            await until(lambda: not sidecar.http.clients.all)
             assert not sidecar.engine.memory.held and len(fake.got) == 1
 
     run(play())
@@ -377,8 +378,8 @@
             assert (await read_message(reader)).code == 200
             assert await reader.read() == b""
             writer.close()
-            await until(lambda: not sidecar.engine.clients.all)
-            assert not sidecar.engine.clients.idle and not sidecar.engine.clients.waited
+            await until(lambda: not sidecar.http.clients.all)
+            assert not sidecar.http.clients.idle and not sidecar.http.clients.waited
 
     run(play())
 
@@ -425,7 +426,7 @@
 
 
 def test_the_ids_that_are_kept_are_bounded(tmp_path, monkeypatch):
-    monkeypatch.setattr(engine, "IDS_MOST", 100)
+    monkeypatch.setattr(names, "NAMES_MOST", 100)
 
     async def play():
         fake = await Fake(answer_ok).start()
@@ -435,7 +436,7 @@
                 writer.write(message("lookup", f"id{number}"))
                 await read_message(reader)
             writer.close()
-            assert len(sidecar.engine.ids) <= 102 and len(sidecar.engine.old_ids) <= 102
+            assert len(sidecar.http.door.names.used) <= 102 and len(sidecar.http.door.names.over) <= 102
             assert not sidecar.engine.held and not sidecar.engine.attempts
 
     run(play())
--- a/tests/test_net_long_day.py
+++ b/tests/test_net_long_day.py
@@ -2,7 +2,7 @@
 
 from net_helpers import HOST, Fake, Sidecar, answer_ok, ask, config, entry, message, news, run, until
 
-from ochreflow.net.discovery import read_news
+from ochreflow.membership.directory import read_news
 
 DAYS_WORTH = 3000
 
@@ -19,15 +19,15 @@
                     entry(f"s{number - 1}", fake.address, "DELETED"),
                     snapshot=False,
                 )
-                engine.on_news(read_news(change, engine.names))
+                engine.on_news(read_news(change, sidecar.names))
                 if number % 20 == 0:
                     data = message("lookup", f"id{number}", "900m", b"", f"X-Key: key{number}")
                     assert (await ask(sidecar.port, data)).code == 200
-                assert len(engine.names.servers) <= 2
-            await until(lambda: not engine.clients.all)
-            assert len(module.servers) <= 2 and len(engine.upstreams.targets) == 1
-            assert len(engine.upstreams.connections) <= 2
-            assert len(module.groups) <= 4 and len(engine.names.zones) <= 256
+                assert len(sidecar.names.servers) <= 2
+            await until(lambda: not sidecar.http.clients.all)
+            assert len(module.servers) <= 2 and len(sidecar.upstreams.targets) == 1
+            assert len(sidecar.upstreams.connections) <= 2
+            assert len(module.groups) <= 4 and len(sidecar.names.zones) <= 256
             assert not (module.open or module.asking or engine.held or engine.attempts)
             assert len(module.timers) <= DAYS_WORTH / 20  # each goes with its deadline, whatever came of it
             assert module.inflight == 0 and engine.memory.held == 0
@@ -47,7 +47,7 @@
             old.strikes = 5.0
             module._eject(old)
             change = news(2, entry("s1", fake.address, "DELETED"), entry("s2", fake.address), snapshot=False)
-            engine.on_news(read_news(change, engine.names))
+            engine.on_news(read_news(change, sidecar.names))
             (new,) = [server for server in module.servers.values() if server.listed]
             assert new is not old and not new.ejected and not new.samples and not module.ejected
             assert (await ask(sidecar.port, message("lookup", "b"))).code == 200
@@ -63,8 +63,8 @@
             engine = sidecar.engine
             for index, status in ((2, "DELETED"), (3, "SERVING")):
                 change = news(index, entry("s1", fake.address, status), snapshot=False)
-                engine.on_news(read_news(change, engine.names))
+                engine.on_news(read_news(change, sidecar.names))
             assert (await ask(sidecar.port, message("order", "a"))).code == 200
-            assert list(engine.upstreams.targets) == list(engine.balancer.servers)
+            assert list(sidecar.upstreams.targets) == list(engine.balancer.servers)
 
     run(play())
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -23,7 +23,7 @@
     until,
 )
 
-from ochreflow import interface as api
+from ochreflow.policy import interface as api
 
 NOT_RUN = "X-Not-Run: 1"
 
@@ -238,10 +238,10 @@
                 raise ZeroDivisionError("of the program")
 
             engine = sidecar.engine
-            engine._payload = broken
+            sidecar.carrier._payload = broken
             assert (await ask(sidecar.port, message("order", "ab", "300m"))).code == 503
             assert not engine.held and not engine.attempts
-            del engine._payload
+            del sidecar.carrier._payload
             assert (await ask(sidecar.port, message("order", "cd"))).code == 200
 
     run(play())
@@ -258,7 +258,7 @@
             await until(lambda: fake.ended == 1, "its attempt is called off")
             engine = sidecar.engine
             await until(lambda: not engine.held and not engine.attempts and not engine.balancer.open)
-            assert not engine.clients.all
+            assert not sidecar.http.clients.all
             (server,) = engine.balancer.servers.values()
             assert not server.out  # the attempt's end was told as well
 
@@ -278,7 +278,7 @@
 def test_a_report_is_read_by_names_and_only_whole(tmp_path):
     async def play():
         async with Sidecar(tmp_path / "c", config(news(1))) as sidecar:
-            read = sidecar.engine.reports.read
+            read = sidecar.carrier.reports.read
             assert read(b"cpu=0.25, rps=3") == (3.0, 0.25)
             assert read(b"qps=3,util=0.25,more=1") == (3.0, 0.25)
             for figure in (
@@ -313,13 +313,13 @@
         async with Sidecar(tmp_path / "c", config(two_servers(fake))) as sidecar:
             heard = []
             engine = sidecar.engine
-            (server,) = engine.upstreams.targets
+            (server,) = sidecar.upstreams.targets
             engine.balancer.handle = lambda now, event: heard.append(event) or []
             engine._act(api.Probe(server))
             await until(lambda: heard)
             assert heard[0].status is api.Status.OK and heard[0].report == (7.0, 0.5)
             engine._act(api.CloseIdle(server))
-            assert not engine.upstreams.connections
+            assert not sidecar.upstreams.connections
             fake.server.close()
             engine._act(api.Probe(server))
             await until(lambda: len(heard) > 1)
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -10,10 +10,10 @@
 import pytest
 from net_helpers import HOST, WAIT, Fake, answer_ok, reply, run, silent, until
 
-from ochreflow.interface import State, Status
-from ochreflow.net import upstream
-from ochreflow.net.limits import MB, Descriptors, Memory
-from ochreflow.net.upstream import Exchange, Upstreams
+from ochreflow.core.limits import MB, Descriptors, Memory
+from ochreflow.http import upstream
+from ochreflow.http.upstream import Exchange, Upstreams
+from ochreflow.policy.interface import State, Status
 
 PAYLOAD = b"GET /lookup HTTP/1.1\r\nX-Request-Id: ab\r\n\r\n"
 
--- a/tests/test_overlap.py
+++ b/tests/test_overlap.py
@@ -9,9 +9,10 @@
 from net_helpers import HOST, Fake, answer_ok, ask, config, entry, message, news, run, until
 from test_process import Process
 
-from ochreflow.net.discovery import Names, read_news, write_news
-from ochreflow.net.limits import MB, Descriptors, Memory, Usage
-from ochreflow.net.overlap import Overlap
+from ochreflow.app.overlap import Overlap
+from ochreflow.core.fleet import Names
+from ochreflow.core.limits import MB, Descriptors, Memory, Usage
+from ochreflow.membership.directory import read_news, write_news
 
 
 def usage(sockets=384, memory=80):
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -6,7 +6,7 @@
 from helpers import MS, SECOND, START, endpoint, make, play_timers, request, settings
 
 from ochreflow import Balancer
-from ochreflow.interface import (
+from ochreflow.policy.interface import (
     Effect,
     ListKind,
     Membership,
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -8,7 +8,7 @@
 from helpers import MS, SECOND, START, endpoint, make, request, settings
 
 from ochreflow import Balancer
-from ochreflow.interface import Effect, ListKind, Membership, Outcome, Send, SetTimer, Status, Timer
+from ochreflow.policy.interface import Effect, ListKind, Membership, Outcome, Send, SetTimer, Status, Timer
 
 ROOT = Path(__file__).parent.parent
 
@@ -22,9 +22,9 @@
 
 
 def test_the_policy_file_stays_within_its_limits_and_names_the_interface_first():
-    text = (ROOT / "ochreflow" / "logic.py").read_text()
+    text = (ROOT / "ochreflow" / "policy" / "logic.py").read_text()
     assert len([line for line in text.splitlines() if line.strip()]) <= 1200
-    assert "ochreflow/interface.py" in text.splitlines()[0]
+    assert "ochreflow/policy/interface.py" in text.splitlines()[0]
 
 
 def _record(seed, others=0):
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -29,7 +29,7 @@
     until,
 )
 
-from ochreflow.settings import nested_settings, parse_settings
+from ochreflow.policy.settings import nested_settings, parse_settings
 
 ROOT = Path(__file__).parent.parent
 READY = b"GET /-/ready HTTP/1.1\r\n\r\n"
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from ochreflow import Balancer, Settings
-from ochreflow.interface import (
+from ochreflow.policy.interface import (
     Cancel,
     Dropped,
     Effect,
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -3,7 +3,7 @@
 import pytest
 from helpers import MS, SECOND, kinds, make, play_timers, request, send_one, serve
 
-from ochreflow.interface import Effect, Fail, Outcome, Refuse, Send, Status, Timer
+from ochreflow.policy.interface import Effect, Fail, Outcome, Refuse, Send, Status, Timer
 
 
 def _finish(balancer, now, ident, server, status, attempt=0, final=False):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,7 +3,7 @@
 from helpers import MS, SECOND, START, endpoint, kinds, make, play_timers, request, send_one, serve, settings
 
 from ochreflow import Balancer
-from ochreflow.interface import (
+from ochreflow.policy.interface import (
     Cancel,
     Dropped,
     Effect,
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -21,11 +21,11 @@
     until,
 )
 
-from ochreflow import interface as api
-from ochreflow.net import body as bodies
-from ochreflow.net import clients, front, upstream
-from ochreflow.net.body import HOLD_MOST, Body
-from ochreflow.net.limits import MB, Memory
+from ochreflow.core import body as bodies
+from ochreflow.core.body import HOLD_MOST, Body
+from ochreflow.core.limits import MB, Memory
+from ochreflow.http import clients, connection, upstream
+from ochreflow.policy import interface as api
 
 BIG = 8 * MB
 PIECE = bytes(range(256)) * 256
@@ -130,11 +130,11 @@
             _, writer = await asyncio.open_connection(HOST, sidecar.port)
             writer.transport.set_write_buffer_limits(high=0)
             writer.write(message("order", "big", "3000m", bytes(BIG)))
-            await until(lambda: sidecar.engine.clients.all)
-            (front,) = sidecar.engine.clients.all
-            await until(lambda: any(one.blocked for one in sidecar.engine.upstreams.connections))
+            await until(lambda: sidecar.http.clients.all)
+            (front,) = sidecar.http.clients.all
+            await until(lambda: any(one.blocked for one in sidecar.upstreams.connections))
             await until(lambda: front.paused and front.flowing is not None)
-            (connection,) = sidecar.engine.upstreams.connections
+            (connection,) = sidecar.upstreams.connections
             assert connection.unwritten
             assert connection.transport.get_write_buffer_size() < 2 * MB
             assert sidecar.engine.memory.held < 2 * HOLD_MOST
@@ -277,7 +277,7 @@
 
 
 def test_a_client_that_does_not_read_stops_its_server_and_is_let_go(tmp_path, monkeypatch):
-    monkeypatch.setattr(front, "SLOW_READER", 0.3)
+    monkeypatch.setattr(connection, "SLOW_READER", 0.3)
 
     async def play():
         async def endless(reader, writer):
@@ -292,11 +292,11 @@
             sock.setblocking(False)
             await loop.sock_connect(sock, (HOST, sidecar.port))
             await loop.sock_sendall(sock, message("order", "ab"))
-            await until(lambda: any(c.held_back for c in sidecar.engine.upstreams.connections))
-            (client,) = sidecar.engine.clients.all
+            await until(lambda: any(c.held_back for c in sidecar.upstreams.connections))
+            (client,) = sidecar.http.clients.all
             assert client.transport.get_write_buffer_size() < MB
             assert sidecar.engine.memory.held < MB
-            await until(lambda: not sidecar.engine.clients.all)
+            await until(lambda: not sidecar.http.clients.all)
             sock.close()
             await until(lambda: not sidecar.engine.held)
 
@@ -458,11 +458,11 @@
     memory = Memory(64 * MB)
     body, sink = Body(memory, None), Sink()
     assert body.add(bytes(bodies.HOLD_MOST + 1)) and body.stopped
-    assert body.so_far().startswith(b"Transfer-Encoding: chunked\r\n\r\n10001\r\n")
+    assert upstream._framed(body).startswith(b"Transfer-Encoding: chunked\r\n\r\n10001\r\n")
     body.flow(sink)
     assert body.spent and memory.held == 0 and not body.stopped
     body.add(b"abc")
     body.end()
-    assert sink.parts == [b"3\r\nabc\r\n", b"end"] and body.trailer == b"0\r\n\r\n"
+    assert sink.parts == [b"abc", b"end"]
     body.drop()
     assert body.add(b"more") and memory.held == 0
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,8 +8,9 @@
 
 import pytest
 
-from ochreflow import settings, wirehost
-from ochreflow.interface import Effect, Scope
+from ochreflow import wirehost
+from ochreflow.policy import settings
+from ochreflow.policy.interface import Effect, Scope
 
 ROOT = Path(__file__).parent.parent
 TEXT = """\
