Give operators a file of their own, a command, and structured logs

Operators had no configuration of their own, no command line, and a log that only people can read.

deploy/ochreflow.toml is read with tomllib and checked key by key against msgspec structs: every fault at once, with file, key, what was found, what is allowed, and the nearest known key; units stand in the values. On SIGHUP it is taken whole or not at all: keys that can't change are named, and an operators' address that can't be bound leaves the old one open. The ochreflow command (click) has run, check, schema, stats, drain and undrain; a wrong call is one line and exit 2. Events go through structlog as JSON or to a console where the file asks for it. Without the file, run imports no click, msgspec or structlog; a test lists what it has imported.

--- a/ochreflow/__init__.py
+++ b/ochreflow/__init__.py
@@ -3,4 +3,6 @@
 from .policy.interface import Settings
 from .policy.logic import Balancer
 
+__version__ = "0.2.0"
+
 __all__ = ["Balancer", "Settings"]
--- a/ochreflow/__main__.py
+++ b/ochreflow/__main__.py
@@ -1,8 +1,18 @@
-"""The real sidecar (`run`)."""
+"""The real sidecar (`run`): `python -m ochreflow [--config FILE]`. It needs no more than it is asked for."""
 
 import sys
 
 from .app.process import main
 
+
+def start(arguments: list[str]) -> int:
+    if not arguments:
+        return main()
+    if len(arguments) == 2 and arguments[0] == "--config":
+        return main(arguments[1])
+    print("ochreflow: usage: python -m ochreflow [--config FILE]", file=sys.stderr)
+    return 2
+
+
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(start(sys.argv[1:]))
--- /dev/null
+++ b/ochreflow/app/logs.py
@@ -0,0 +1,31 @@
+"""Structured logs: the events of `core.log` written by structlog, as JSON lines or for a console."""
+
+from __future__ import annotations
+
+import sys
+
+import structlog
+
+from ..core.log import Sink
+
+
+def structured(form: str) -> Sink:
+    """A sink that writes to standard error in the form "json" or "console"."""
+    render: structlog.typing.Processor
+    if form == "json":
+        render = structlog.processors.JSONRenderer(sort_keys=False)
+    else:
+        render = structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
+    logger = structlog.wrap_logger(
+        structlog.WriteLogger(sys.stderr),
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            render,
+        ],
+    )
+
+    def sink(level: str, event: str, fields: dict[str, object]) -> None:
+        getattr(logger, level)(event, **fields)
+
+    return sink
--- a/ochreflow/app/process.py
+++ b/ochreflow/app/process.py
@@ -20,6 +20,7 @@
 from ..membership.peers import Peers
 from .config import Config, ConfigError, read_config
 from .overlap import Overlap
+from .reload import Options, Reloader
 from .sidecar import Sidecar
 
 BACKLOG = 512
@@ -56,20 +57,13 @@
         return None
 
 
-def reload(sidecar: Sidecar, path: str | None) -> None:
-    """Reread the configuration: discovery may have moved. What can't be read changes nothing."""
-    try:
-        config = read_config(path)
-    except ConfigError as error:
-        log.warning("reload_refused", reason=str(error))
-        return
-    sidecar.reload(config)
-
-
-async def run(config: Config, path: str | None) -> None:
+async def run(config: Config, options: Options, path: str | None) -> None:
     loop = asyncio.get_running_loop()
     inherited = inherited_socket(os.environ.get("GW_FD"))
-    usage = Usage(Descriptors(config.sockets), Memory(config.memory))
+    usage = Usage(
+        Descriptors(min(config.sockets, options.descriptors or config.sockets)),
+        Memory(min(config.memory, options.memory or config.memory)),
+    )
     sidecar: Sidecar | None = None
     overlap, known = None, None
     if inherited is not None and (folder := os.environ.get("TMPDIR")):
@@ -79,18 +73,17 @@
     sidecar = Sidecar(loop, config, usage, known)
     engine = sidecar.engine
     management = Management(loop, engine)
+    reloader = Reloader(loop, sidecar, management, options, path)
+    reloader.take_options(options)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, engine.lifecycle.terminate)
-    loop.add_signal_handler(signal.SIGHUP, reload, sidecar, path)
+    loop.add_signal_handler(signal.SIGHUP, reloader.ask)
     try:
         if config.peer_listen is not None:
             peers = Peers(config.settings.index, config.peers, config.peers_all, engine.on_peer)
             await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
             engine.peers = peers
-        if config.management is not None:
-            listener = await loop.create_server(management.call, *config.management, backlog=BACKLOG)
-            host, port = listener.sockets[0].getsockname()
-            log.info("operators_listening", host=host, port=port)
+        await management.listen(options.operators or config.management)
         if inherited is not None:
             server = await loop.create_server(sidecar.http.connection, sock=inherited, backlog=BACKLOG)
         else:
@@ -113,7 +106,8 @@
     sidecar.close()
 
 
-def main() -> int:
+def main(operator_file: str | None = None) -> int:
+    """Run until the end is asked for; the exit code. `operator_file` names the operator's own file."""
     # The loop's own reports of exceptions that nobody caught.
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     # Guards the start and the end, when no loop listens: the signal's default would end the process.
@@ -121,8 +115,9 @@
     path = os.environ.get("GW_CONFIG")
     try:
         config = read_config(path)
+        options = Options.read(operator_file)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(run(config, path))
+            runner.run(run(config, options, path))
             signal.signal(signal.SIGHUP, signal.SIG_IGN)
     except ConfigError as error:
         print(f"ochreflow: {error}", file=sys.stderr)
--- /dev/null
+++ b/ochreflow/app/reload.py
@@ -0,0 +1,130 @@
+"""What the operator's own file says, and how new configurations are taken while the process runs."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from ..core.log import Sink, log, plain
+from ..core.ports import Address
+from ..http.management import Management
+from .config import Config, ConfigError, read_config
+from .sidecar import Sidecar
+
+if TYPE_CHECKING:
+    from .operator import OperatorFile
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """What the file says, in the program's own units. Without a file all is as it always was."""
+
+    path: str | None = None
+    file: OperatorFile | None = None
+
+    @classmethod
+    def read(cls, path: str | None) -> Options:
+        """ConfigError, in one line, if it can't be used."""
+        if path is None:
+            return cls()
+        from .operator import FaultsError, read_file
+
+        try:
+            return cls(path, read_file(path))
+        except FaultsError as faults:
+            raise ConfigError(str(faults)) from None
+
+    def _get(self, table: str, key: str) -> Any:
+        return getattr(getattr(self.file, table), key) if self.file is not None else None
+
+    @property
+    def memory(self) -> int | None:
+        return self._get("limits", "memory")
+
+    @property
+    def descriptors(self) -> int | None:
+        return self._get("limits", "descriptors")
+
+    @property
+    def operators(self) -> Address | None:
+        return self._get("operators", "listen")
+
+    def changed(self, new: Options) -> list[str]:
+        """The keys that differ; ConfigError names those that can't change while the process runs."""
+        if self.file is None or new.file is None:
+            return []
+        from .operator import changes
+
+        found = list(changes(self.file, new.file))
+        if fixed := [f"{key} ({bar.why})" for key, bar in found if bar is not None]:
+            raise ConfigError(f"{new.path}: can't change while running: {', '.join(fixed)}")
+        return [key for key, _ in found]
+
+
+class Reloader:
+    """Takes new configurations one at a time, each whole or not at all."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        sidecar: Sidecar,
+        management: Management,
+        options: Options,
+        path: str | None,
+    ) -> None:
+        self.loop = loop
+        self.sidecar = sidecar
+        self.management = management
+        self.options = options
+        self.path = path
+        self.task: asyncio.Task[None] | None = None
+        self.again = False  # asked for once more while one was being taken
+
+    def ask(self) -> None:
+        """Read the configurations again, now or when the reload that is under way has ended."""
+        if self.task is not None and not self.task.done():
+            self.again = True
+            return
+        self.task = self.loop.create_task(self._reload())
+
+    async def _reload(self) -> None:
+        while True:
+            self.again = False
+            try:
+                await self._take()
+            except ConfigError as error:
+                log.warning("reload_refused", reason=str(error))
+            if not self.again:
+                return
+
+    async def _take(self) -> None:
+        """Everything that may fail comes first; then all of it is taken."""
+        config: Config = read_config(self.path)
+        options = Options.read(self.options.path)
+        changed = self.options.changed(options)
+        if "operators.listen" in changed:
+            try:
+                await self.management.listen(options.operators or config.management)
+            except OSError as error:
+                raise ConfigError(f"{options.path}: operators.listen: {error.strerror or error}") from None
+        self.sidecar.reload(config)
+        if changed:
+            self.take_options(options)
+            log.info("reload_taken", changed=", ".join(changed))
+
+    def take_options(self, options: Options) -> None:
+        self.options = options
+        file = options.file
+        if file is None:
+            return
+        sink: Sink = plain
+        if file.log.format != "plain":
+            from .logs import structured
+
+            sink = structured(file.log.format)
+        log.use(sink, file.log.level, file.log.per_second)
+        times = self.sidecar.http.clients.times
+        times.head = file.clients.head_within
+        times.idle = file.clients.idle
+        times.slow_reader = file.clients.slow_reader
--- /dev/null
+++ b/ochreflow/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The `ochreflow` command."""
--- /dev/null
+++ b/ochreflow/cli/main.py
@@ -0,0 +1,130 @@
+"""What can be asked for on the command line. Each command imports what it needs when it is called."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import sys
+
+import click
+
+from .. import __version__
+
+WITHIN = 2.0  # seconds for a call to a running sidecar: it answers within one
+FAULTY = 2  # exit code for what was asked wrongly
+
+
+def _example(text: str) -> str:
+    return f"\b\nExample:\n  {text}"
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
+@click.version_option(__version__, message="%(version)s")
+def ochreflow() -> None:
+    """A sidecar load balancer: one final answer to each request, whatever its servers do."""
+
+
+@ochreflow.command(epilog=_example("ochreflow run --platform config.json --config deploy/ochreflow.toml"))
+@click.option("--config", metavar="FILE", help="The operator's own file.")
+@click.option("--platform", metavar="FILE", help="The platform's configuration; else $GW_CONFIG names it.")
+def run(config: str | None, platform: str | None) -> int:
+    """Serve until SIGTERM."""
+    from ..app.process import main as serve
+
+    if platform is not None:
+        os.environ["GW_CONFIG"] = platform
+    return serve(config)
+
+
+@ochreflow.command(epilog=_example("ochreflow check deploy/ochreflow.toml"))
+@click.argument("file")
+def check(file: str) -> int:
+    """Check an operator's file: a line for each fault, exit code 2 if there is one."""
+    from ..app.operator import FaultsError, read_file
+
+    try:
+        read_file(file)
+    except FaultsError as problem:
+        for fault in problem.faults:
+            click.echo(fault, err=True)
+        return FAULTY
+    click.echo(f"{file}: fine")
+    return 0
+
+
+@ochreflow.command(epilog=_example("ochreflow schema > ochreflow.schema.json"))
+def schema() -> int:
+    """Print the JSON Schema of the operator's file."""
+    from ..app.operator import schema as made
+
+    click.echo(json.dumps(made(), indent=2))
+    return 0
+
+
+def _call(method: str, address: str, path: str) -> tuple[int, str]:
+    """One call to the operators' address of a sidecar; ClickException if there is no answer."""
+    from ..core.address import split_address
+
+    try:
+        host, port = split_address(address)
+    except ValueError:
+        wanted = f'ADDRESS: found "{address}", wanted an address and a port, such as "127.0.0.1:9100"'
+        raise click.UsageError(wanted) from None
+    connection = http.client.HTTPConnection(host, port, timeout=WITHIN)
+    try:
+        connection.request(method, path)
+        answer = connection.getresponse()
+        return answer.status, answer.read().decode()
+    except (OSError, http.client.HTTPException) as error:
+        raise click.ClickException(f"no answer from {address}: {error or type(error).__name__}") from None
+    finally:
+        connection.close()
+
+
+def _order(address: str, path: str, done: str) -> int:
+    code, said = _call("POST", address, path)
+    if code != 200:
+        raise click.ClickException(f"{address} says no: {said.strip()}")
+    click.echo(f"{address}: {done}")
+    return 0
+
+
+@ochreflow.command(epilog=_example("ochreflow stats 127.0.0.1:9100"))
+@click.argument("address")
+def stats(address: str) -> int:
+    """Print the figures of the sidecar whose operators' address this is."""
+    code, said = _call("GET", address, "/stats")
+    if code != 200:
+        raise click.ClickException(f"{address} says no: {said.strip()}")
+    click.echo(said, nl=False)
+    return 0
+
+
+@ochreflow.command(epilog=_example("ochreflow drain 127.0.0.1:9100"))
+@click.argument("address")
+def drain(address: str) -> int:
+    """Empty a sidecar: it answers what it holds and refuses what is new."""
+    return _order(address, "/healthcheck/fail", "draining")
+
+
+@ochreflow.command(epilog=_example("ochreflow undrain 127.0.0.1:9100"))
+@click.argument("address")
+def undrain(address: str) -> int:
+    """Put a drained sidecar back to work."""
+    return _order(address, "/healthcheck/ok", "serving")
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run a command; what was asked wrongly is one plain line and exit code 2."""
+    try:
+        result = ochreflow.main(arguments, prog_name="ochreflow", standalone_mode=False)
+    except click.UsageError as error:
+        print(f"ochreflow: {error.format_message()} (--help tells more)", file=sys.stderr)
+        return FAULTY
+    except click.ClickException as error:
+        print(f"ochreflow: {error.format_message()}", file=sys.stderr)
+        return 1
+    except click.Abort:
+        return 130
+    return result if isinstance(result, int) else 0
--- a/ochreflow/core/engine.py
+++ b/ochreflow/core/engine.py
@@ -9,9 +9,11 @@
 import asyncio
 import math
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 from time import monotonic, monotonic_ns, time_ns
+from typing import Any
 
 from ..policy import interface as api
 from ..policy.interface import Settings, Status
@@ -124,6 +126,7 @@
         self.next_id = 1
         self.events: deque[api.Event] = deque()
         self.handling = False
+        self.doing = self._actions()
         self.stats = Stats([spec.name for spec in settings.classes])
         longest = max(spec.deadline_ns for spec in settings.classes) / SECOND
         self.lifecycle = Lifecycle(loop, self.descriptors, longest, self._answer_all)
@@ -179,39 +182,55 @@
             self.reported_at = monotonic()
             log.exception("fault", reason=reason)
 
+    def _actions(self) -> dict[type, Callable[[Any], None]]:
+        """What is done for each kind of action."""
+        return {
+            api.Send: self._send,
+            api.Refuse: self._refuse,
+            api.Fail: self._fail,
+            api.Cancel: self._cancel,
+            api.SetTimer: self._set_timer,
+            api.Probe: self._probe,
+            api.CloseIdle: self._close_idle,
+            api.Tell: self._tell,
+            api.Watch: self._watch,
+            api.Fetch: self._fetch,
+            api.Log: self._log,
+        }
+
     def _act(self, action: api.Action) -> None:
-        kind = type(action)
-        if kind is api.Send:
-            self._send(action)
-        elif kind is api.SetTimer:
-            # Whole milliseconds, upwards: the loop counts in these, and an early bell rings for nothing.
-            self.loop.call_later(-(-action.after_ns // MS) / 1000, self.post, api.Timer(action.token))
-        elif kind is api.Refuse:
-            self._decided(
-                action.id, Verdict(Disposition.DECLINED, Reason.DECIDED, None, action.retry_after_ns)
-            )
-        elif kind is api.Fail:
-            self._decided(action.id, Verdict(Disposition.ABORTED, Reason.DECIDED))
-        elif kind is api.Cancel:
-            self._cancel(action)
-        elif kind is api.Probe:
-            self._probe(action.server)
-        elif kind is api.CloseIdle:
-            for carrier in self.carriers:
-                carrier.close_idle(action.server)
-        elif kind is api.Tell:
-            if self.peers is not None:
-                self.peers.tell(action.data, action.peer)
-        elif kind is api.Watch:
-            if self.source is not None:
-                self.source.watch(action.on)
-        elif kind is api.Fetch:
-            if self.source is not None:
-                self.source.fetch()
-        elif kind is api.Log:
-            log.info("module", said=action.text)
-        else:
-            raise TypeError(f"no action: {action!r}")
+        self.doing[type(action)](action)
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        # Whole milliseconds, upwards: the loop counts in these, and an early bell rings for nothing.
+        self.loop.call_later(-(-action.after_ns // MS) / 1000, self.post, api.Timer(action.token))
+
+    def _refuse(self, action: api.Refuse) -> None:
+        self._decided(
+            action.id, Verdict(Disposition.DECLINED, Reason.DECIDED, retry_after_ns=action.retry_after_ns)
+        )
+
+    def _fail(self, action: api.Fail) -> None:
+        self._decided(action.id, Verdict(Disposition.ABORTED, Reason.DECIDED))
+
+    def _close_idle(self, action: api.CloseIdle) -> None:
+        for carrier in self.carriers:
+            carrier.close_idle(action.server)
+
+    def _tell(self, action: api.Tell) -> None:
+        if self.peers is not None:
+            self.peers.tell(action.data, action.peer)
+
+    def _watch(self, action: api.Watch) -> None:
+        if self.source is not None:
+            self.source.watch(action.on)
+
+    def _fetch(self, action: api.Fetch) -> None:
+        if self.source is not None:
+            self.source.fetch()
+
+    def _log(self, action: api.Log) -> None:
+        log.info("module", said=action.text)
 
     # Requests
 
@@ -439,8 +458,8 @@
         if attempt is not None and attempt.carriage is not None:
             attempt.carriage.give_up(Status.CANCELLED)
 
-    def _probe(self, server: int) -> None:
-        started = self.now()
+    def _probe(self, action: api.Probe) -> None:
+        server, started = action.server, self.now()
 
         def done(status: Status, report: tuple[float, ...]) -> None:
             self.post(api.ProbeResult(server, status, self.now() - started, report))
--- a/ochreflow/http/carrier.py
+++ b/ochreflow/http/carrier.py
@@ -30,7 +30,7 @@
             payload, body = payload + b"\r\n", None
 
         def done(_: Exchange, status: Status, answer: Answer | None) -> None:
-            report = ()
+            report: tuple[float, ...] = ()
             if answer is not None and answer.load and self.reports.columns:
                 report = self.reports.read(answer.load)
             watcher.ended(status, answer, report)
--- a/ochreflow/http/clients.py
+++ b/ochreflow/http/clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
 from itertools import takewhile
 from time import monotonic
 from typing import Protocol
@@ -11,11 +12,21 @@
 HEAD_MOST = 2.6  # seconds from connecting, or from a message's first byte, until its head has come
 BODY_RATE_LEAST = 32_000  # bytes of a body a second, looked at as seldom: clients may send 64 kB a second
 IDLE_MOST = 2.0  # seconds that a connection is kept with no request open
+SLOW_READER = 5.0  # seconds in which a client may take nothing of an answer
 FEW = 0.25  # of the clients' share: when more than that have sent nothing, it is no burst of the usual ones
 STALE = 0.5  # seconds without a byte, with a message owed: slow clients write a piece more often
 YOUNG = 0.02  # seconds in which a new connection's first request may well be on its way
 
 
+@dataclass(slots=True)
+class Times:
+    """How long clients may take, in seconds. What changes here holds from the next look on."""
+
+    head: float = field(default_factory=lambda: HEAD_MOST)
+    idle: float = field(default_factory=lambda: IDLE_MOST)
+    slow_reader: float = field(default_factory=lambda: SLOW_READER)
+
+
 class Client(Protocol):
     """What is asked of a client's connection here."""
 
@@ -50,6 +61,7 @@
 
     def __init__(self, descriptors: Descriptors) -> None:
         self.descriptors = descriptors
+        self.times = Times()
         self.all: dict[Client, None] = {}
         self.waited: dict[Client, float] = {}
         self.heard: dict[Client, float] = {}
@@ -117,7 +129,7 @@
     def sweep(self) -> None:
         """Guards descriptors and memory against clients that never end a message or never come back."""
         now = monotonic()
-        for client in _since(self.waited, now - HEAD_MOST):
+        for client in _since(self.waited, now - self.times.head):
             came = client.came_since_look()
             # What is not being read may have come long ago.
             if client.paused or came is None or came >= BODY_RATE_LEAST * (now - self.waited[client]):
@@ -126,7 +138,7 @@
             else:
                 self._forget(client)
                 client.expire()
-        for client in _since(self.idle, now - IDLE_MOST):
+        for client in _since(self.idle, now - self.times.idle):
             if client.quiet:
                 client.close()
 
--- a/ochreflow/http/connection.py
+++ b/ochreflow/http/connection.py
@@ -7,6 +7,7 @@
 import struct
 from collections import deque
 from dataclasses import dataclass
+from typing import cast
 
 import httptools
 
@@ -23,7 +24,6 @@
 HEADERS_MOST = 32 * 1024
 FRAMING_MOST = 8  # bytes on the socket for each one of a body, in the smallest of chunks
 WAITING_MOST = 16  # requests that a client may send ahead of their answers before it is read no further
-SLOW_READER = 5.0  # seconds in which a client may take nothing of an answer
 LINGER = 2.0  # seconds in which a rejected client may still send, unheard, and read why
 REASONS = {
     200: b"OK",
@@ -109,8 +109,8 @@
         assert isinstance(answer, Answer)
         return 200, _lines(answer), answer.body
     if verdict.reason is Reason.BROKEN:
-        code, body = verdict.detail  # type: ignore[misc]  # as `_reject` gave it
-        return code, b"", body
+        broken: tuple[int, bytes] = verdict.detail  # type: ignore[assignment]  # as `_reject` gave it
+        return broken[0], b"", broken[1]
     code, body = WORDED[verdict.disposition, verdict.reason]
     headers = b""
     if verdict.retry_after_ns > 0:
@@ -197,8 +197,9 @@
     # The transport's calls
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = transport  # type: ignore[assignment]
-        self.transport.set_write_buffer_limits(high=0)
+        transport = cast(asyncio.Transport, transport)
+        self.transport = transport
+        transport.set_write_buffer_limits(high=0)
         self.shared.clients.add(self)
 
     def data_received(self, data: bytes) -> None:
@@ -257,7 +258,9 @@
         # Guards the memory against clients that ask and do not read.
         self.unread = True
         if self.slow is None and self.transport is not None:
-            self.slow = Patience(self.engine.loop, self.transport, SLOW_READER, self.close)
+            self.slow = Patience(
+                self.engine.loop, self.transport, self.shared.clients.times.slow_reader, self.close
+            )
         if self.passing is not None:
             self.passing.pause(True)
 
@@ -423,7 +426,7 @@
         elif call is not None and call is self.current:
             call.keep_alive = False
             self.engine.body_broken(call, disposition(code), (code, f"{text}\n".encode()))
-        elif call in self.waiting:
+        elif call is not None and call in self.waiting:
             self._release(call.size)
             self.waiting[self.waiting.index(call)] = RequestError(code, text, call.cls)
         elif self.current is None and not self.waiting:
@@ -437,10 +440,10 @@
         try:
             while self.waiting and self.current is None and not self.unread and not self.closed:
                 item = self.waiting.popleft()
-                if type(item) is HttpCall:
+                if isinstance(item, HttpCall):
                     self.current = item
                     self.engine.take(self.shared.door, self, item)
-                elif type(item) is Ready:
+                elif isinstance(item, Ready):
                     ok = self.engine.lifecycle.ready
                     text = b"ready\n" if ok else b"not ready\n"
                     self._respond(200 if ok else 503, b"", text, item.keep_alive)
--- a/ochreflow/http/management.py
+++ b/ochreflow/http/management.py
@@ -11,6 +11,10 @@
 
 import httptools
 
+from ..core.log import log
+from ..core.ports import Address
+
+BACKLOG = 512
 CALLS_MOST = 8  # connections at a time; the reserve of descriptors has room for them
 CALL_BYTES_MOST = 8 * 1024
 READ_WITHIN = 0.9  # seconds from connecting until the whole call has come
@@ -44,6 +48,8 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, operated: Operated) -> None:
         self.loop = loop
         self.calls: dict[Call, None] = {}  # in the order they came
+        self.server: asyncio.Server | None = None
+        self.address: Address | None = None  # as it was asked for
         self.routes = {
             b"/healthcheck": (b"GET", lambda: _verdict(operated.healthy())),
             b"/stats": (b"GET", lambda: (200, operated.report())),
@@ -51,6 +57,19 @@
             b"/healthcheck/ok": (b"POST", lambda: _verdict(operated.ok())),
         }
 
+    async def listen(self, address: Address | None) -> None:
+        """Move to an address, or to none. OSError if it can't be bound: then the old one stays."""
+        if address == self.address:
+            return
+        server = None
+        if address is not None:
+            server = await self.loop.create_server(self.call, *address, backlog=BACKLOG)
+            host, port = server.sockets[0].getsockname()
+            log.info("operators_listening", host=host, port=port)
+        if self.server is not None:
+            self.server.close()
+        self.server, self.address = server, address
+
     def call(self) -> Call:
         """The protocol for a new connection."""
         return Call(self)
@@ -74,6 +93,8 @@
         return code, body, ""
 
     def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
         for call in list(self.calls):
             call.drop()
 
--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from time import monotonic
-from typing import Protocol
+from typing import Protocol, cast
 
 import httptools
 
@@ -163,8 +163,8 @@
 
 def _framed(body: Body) -> bytes:
     """The end of the head, which says how the body is framed, and all that is held of it."""
-    if body.complete or body.length is not None:
-        length = len(body.held) if body.complete else body.length
+    length = len(body.held) if body.complete else body.length
+    if length is not None:
         return b"Content-Length: %d\r\n\r\n%s" % (length, body.held)
     return b"Transfer-Encoding: chunked\r\n\r\n" + _chunk(body.held)
 
@@ -227,10 +227,11 @@
     # The transport's calls
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = transport  # type: ignore[assignment]
+        transport = cast(asyncio.Transport, transport)
+        self.transport = transport
         # Any byte that waits for the socket pauses writing, so `unwritten` tells whether the last one
         # has gone: the line between "never ran" and "may have run".
-        self.transport.set_write_buffer_limits(high=0)
+        transport.set_write_buffer_limits(high=0)
 
     @property
     def unwritten(self) -> bool:
--- a/ochreflow/membership/peers.py
+++ b/ochreflow/membership/peers.py
@@ -30,7 +30,7 @@
         if number is not None and len(data) <= DATAGRAM_MOST:
             self.heard(number, data)
 
-    def error_received(self, exc: OSError) -> None:
+    def error_received(self, exc: Exception) -> None:
         """A datagram may be lost; that its receiver is down tells nothing that the module could use."""
 
     def tell(self, data: bytes, peer: int | None) -> None:
--- a/ochreflow/policy/settings.py
+++ b/ochreflow/policy/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from . import interface as api
@@ -52,7 +53,7 @@
 class _Pairs:
     """Settings by their path, with errors that name it."""
 
-    def __init__(self, values: dict[str, object]) -> None:
+    def __init__(self, values: Mapping[str, object]) -> None:
         self.values = values
 
     def _convert(self, key: str, kind, default):
--- /dev/null
+++ b/tests/test_operator_file.py
@@ -0,0 +1,268 @@
+"""The operator's file, the command, structured logs, and what a reload may and may not change."""
+
+import asyncio
+import json
+import re
+import signal
+import socket
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import msgspec
+import pytest
+from net_helpers import HOST, Fake, ask, config, entry, message, news, run, silent
+from test_process import Process
+
+from ochreflow.app import operator
+from ochreflow.core.log import Log
+
+ROOT = Path(__file__).parent.parent
+
+
+def command(*arguments, **more):
+    return subprocess.run(
+        [sys.executable, "-m", "ochreflow.cli", *arguments], cwd=ROOT, capture_output=True, text=True, **more
+    )
+
+
+FAULTS = {
+    "top = 1": "top: no such key; known here: log, operators, limits, clients",
+    "log = 3": "log: found 3, wanted a table",
+    "[log]\nfromat = 'json'": "log.fromat: no such key; did you mean format?",
+    "[log]\nlevel = 'loud'": 'log.level: found "loud", wanted one of "debug", "info", "warning", "error"',
+    "[log]\nper_second = 0": "log.per_second: found 0, wanted at least 1 and at most 100000",
+    "[log]\nper_second = 'x'": 'log.per_second: found "x", wanted a whole number',
+    "[log]\nper_second = 1.5": "log.per_second: found 1.5, wanted a whole number",
+    "[clients]\nidle = 2": "clients.idle: found 2, wanted a time with its unit",
+    "[clients]\nidle = '2 parsecs'": 'clients.idle: found "2 parsecs", wanted a time with its unit',
+    "[clients]\nidle = '1ms'": 'clients.idle: found "1ms", wanted at least 100ms and at most 3600s',
+    "[limits]\nmemory = '1GB'": 'limits.memory: found "1GB", wanted a size with its unit',
+    "[operators]\nlisten = 'localhost:1'": 'operators.listen: found "localhost:1", wanted an address and',
+}
+
+
+def test_every_fault_is_told_at_once_with_its_key_and_what_is_allowed(tmp_path):
+    for text, fault in FAULTS.items():
+        path = tmp_path / "one.toml"
+        path.write_text(text)
+        with pytest.raises(operator.FaultsError) as caught:
+            operator.read_file(str(path))
+        assert len(caught.value.faults) == 1 and caught.value.faults[0].startswith(f"{path}: {fault}"), text
+    path.write_text("top = 1\n[log]\nlevel = 'loud'\nper_secnod = 3\n[clients]\nidle = 2\n")
+    done = command("check", str(path))
+    assert done.returncode == 2 and not done.stdout
+    keys = [line.removeprefix(f"{path}: ").split(":")[0] for line in done.stderr.splitlines()]
+    assert keys == ["top", "log.level", "log.per_secnod", "clients.idle"]
+
+
+@pytest.mark.parametrize("text", ["[log", "log = ", "\xff", None])
+def test_what_is_no_toml_or_not_there_is_one_line(tmp_path, text):
+    path = tmp_path / "f"
+    if text is not None:
+        path.write_bytes(text.encode("latin-1"))
+    done = command("check", str(path))
+    assert done.returncode == 2 and done.stderr.startswith(f"{path}: ") and done.stderr.count("\n") == 1
+
+
+def test_the_shipped_file_is_fine_and_names_every_key_with_its_default(tmp_path):
+    text = (ROOT / "deploy" / "ochreflow.toml").read_text()
+    path = tmp_path / "all.toml"
+    path.write_text(
+        "\n".join(line.removeprefix("# ") if " = " in line else line for line in text.splitlines())
+    )
+    everything = tomllib.loads(path.read_text())
+    tables = set(operator.OperatorFile.__struct_fields__)
+    assert set(everything) == tables
+    plain = operator.OperatorFile()
+    for table in tables:
+        assert set(everything[table]) == set(getattr(plain, table).__struct_fields__)
+    read = operator.read_file(str(path))
+    assert read.log == plain.log and read.clients == plain.clients
+
+
+def test_the_schema_allows_what_the_reader_allows():
+    made = json.loads(command("schema").stdout)
+    clients = made["$defs"]["ClientsTable"]
+    assert clients["additionalProperties"] is False
+    assert clients["properties"]["idle"]["default"] == "2s"
+    assert made["$defs"]["LogTable"]["properties"]["per_second"]["maximum"] == 100_000
+    assert msgspec.json.decode(msgspec.json.encode(made)) == made
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code"),
+    [
+        (["frobnicate"], 2),
+        (["check"], 2),
+        (["check", "a", "b"], 2),
+        (["stats"], 2),
+        (["stats", "nowhere"], 2),
+        (["run", "--port", "1"], 2),
+        (["drain", f"{HOST}:1"], 1),
+    ],
+)
+def test_a_wrong_call_is_one_plain_line(arguments, code):
+    done = command(*arguments)
+    assert done.returncode == code and not done.stdout
+    assert done.stderr.startswith("ochreflow: ") and done.stderr.count("\n") == 1
+
+
+def test_every_command_has_help_with_an_example():
+    listed = command("--help").stdout.split("Commands:")[1]
+    for name in [line.split()[0] for line in listed.strip().splitlines()]:
+        said = command(name, "--help").stdout
+        assert f"Example:\n    ochreflow {name}" in said, name
+
+
+class Configured(Process):
+    """The program with an operator's file."""
+
+    def __init__(self, path, data, text):
+        super().__init__(path, data)
+        self.file = path.with_suffix(".toml")
+        self.file.write_text(text)
+        self.arguments = ["--config", str(self.file)]
+
+
+def test_orders_and_figures_by_the_command(tmp_path):
+    async def play():
+        async with Configured(
+            tmp_path / "c", config(news(1)), f'[operators]\nlisten = "{HOST}:0"'
+        ) as sidecar:
+            address = f"{HOST}:{sidecar.operators}"
+            for name, said in (("drain", "draining"), ("undrain", "serving")):
+                done = await asyncio.to_thread(command, name, address)
+                assert (done.returncode, done.stdout) == (0, f"{address}: {said}\n")
+            done = await asyncio.to_thread(command, "stats", address)
+            assert "app.fronts.http.succeeded=0\n" in done.stdout
+
+    run(play())
+
+
+def test_a_reload_is_taken_whole_or_not_at_all(tmp_path):
+    async def play():
+        fake = await Fake(silent).start()
+        data = config(news(1, entry("s1", fake.address)))
+        start = f'[operators]\nlisten = "{HOST}:0"\n'
+        async with Configured(tmp_path / "c", data, start) as sidecar:
+            taken = socket.create_server((HOST, 0))
+
+            async def reload(text, said):
+                sidecar.file.write_text(text)
+                sidecar.process.send_signal(signal.SIGHUP)
+                await sidecar.heard(re.escape(said))
+                health = b"GET /healthcheck HTTP/1.1\r\n\r\n"
+                assert (await ask(sidecar.operators, health)).code == 200
+
+            await reload("[log]\nlevel = 1\n", b"log.level: found 1")
+            await reload(start + '[limits]\nmemory = "64MiB"\n', b"can't change while running: limits.memory")
+            port = taken.getsockname()[1]
+            # One that can't be bound: the old one stays, and the other change beside it is not taken.
+            busy = f'[operators]\nlisten = "{HOST}:{port}"\n[clients]\nidle = "60s"\n'
+            await reload(busy, b"operators.listen: ")
+            old = sidecar.operators
+            # An upload is half through while a good one is taken: it goes on.
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            body = bytes(200_000)
+            whole = message("order", "flowing", "3000m", body)
+            writer.write(whole[:100_000])
+            taken.close()
+            sidecar.file.write_text(busy)
+            sidecar.process.send_signal(signal.SIGHUP)
+            await sidecar.heard(rb"read again: operators.listen, clients.idle")
+            assert (await ask(port, b"GET /healthcheck HTTP/1.1\r\n\r\n")).code == 200
+            with pytest.raises(OSError):
+                await ask(old, b"GET /healthcheck HTTP/1.1\r\n\r\n")
+            fake.act = answer_served
+            writer.write(whole[100_000:])
+            assert (await reader.readline()).split()[1] == b"200"
+            assert fake.got[0].body == body
+            writer.close()
+            sidecar.process.send_signal(signal.SIGTERM)
+            assert await sidecar.process.wait() == 0
+
+    async def answer_served(message, reader, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    run(play())
+
+
+def test_json_logs_are_one_event_a_line_with_its_fields(tmp_path):
+    async def play():
+        fake = await Fake(silent).start()
+        data = config(news(1, entry("s1", fake.address)))
+        text = '[log]\nformat = "json"\nlevel = "debug"\n'
+        async with Configured(tmp_path / "c", data, text) as sidecar:
+            assert (await ask(sidecar.port, message("order", "one", "300m"))).code == 502
+            sidecar.process.send_signal(signal.SIGTERM)
+            assert await sidecar.process.wait() == 0
+            lines = [json.loads(line) for line in await sidecar.rest() if line.startswith(b"{")]
+        events = {line["event"]: line for line in lines}
+        verdict = {"front": "http", "request": "one", "outcome": "aborted", "reason": "decided"}
+        assert verdict.items() <= events["verdict"].items() and events["verdict"]["level"] == "debug"
+        assert events["attempt"]["server"] == 1 and events["attempt"]["attempt"] == 0
+        assert isinstance(events["listening"]["port"], int) and "timestamp" in events["listening"]
+
+    run(play())
+
+
+def test_a_bad_file_is_one_line_and_exit_code_1_for_run(tmp_path):
+    (tmp_path / "c").write_text(json.dumps(config(news(1))))
+    (tmp_path / "f").write_text("a = 1\nb = 2\n")
+    done = command("run", "--platform", str(tmp_path / "c"), "--config", str(tmp_path / "f"), timeout=20)
+    assert done.returncode == 1 and done.stderr.count("\n") == 1
+    assert done.stderr.startswith(f"ochreflow: {tmp_path}/f: a: no such key") and "and 1 more" in done.stderr
+
+
+def test_one_event_is_bounded_and_what_was_held_back_is_counted():
+    now, said = [0.0], []
+    log = Log(lambda level, event, fields: said.append((event, fields)), lambda: now[0])
+    log.use(log.sink, "info", 3)
+    for _ in range(10):
+        log.info("module", said="x")
+        log.debug("verdict")
+    log.info("draining")
+    now[0] = 1.0
+    log.info("module", said="y")
+    assert said == [
+        *[("module", {"said": "x"})] * 3,
+        ("draining", {}),
+        ("module", {"said": "y", "held_back": 7}),
+    ]
+
+
+def test_run_imports_nothing_that_its_configuration_does_not_ask_for(tmp_path):
+    """Its memory is scarce: no parser of arguments, no checking library, no structured logs, no stand-ins."""
+    (tmp_path / "c").write_text(json.dumps(config(news(1))))
+    code = """
+import asyncio, os, signal, sys
+from ochreflow.app import process
+loaded = process.run
+async def run(*args):
+    asyncio.get_running_loop().call_later(0.2, os.kill, os.getpid(), signal.SIGTERM)
+    await loaded(*args)
+process.run = run
+code = process.main(sys.argv[1] if len(sys.argv) > 1 else None)
+print(" ".join(sorted(sys.modules)))
+sys.exit(code)
+"""
+    env = {"GW_CONFIG": str(tmp_path / "c"), "PATH": "/usr/bin:/bin"}
+    imported = {}
+    for form in (None, "plain", "json"):
+        (tmp_path / "f").write_text(f'[log]\nformat = "{form}"\n')
+        more = [] if form is None else [str(tmp_path / "f")]
+        done = subprocess.run(
+            [sys.executable, "-c", code, *more], cwd=ROOT, env=env, capture_output=True, text=True, timeout=30
+        )
+        assert done.returncode == 0, done.stderr
+        imported[form] = set(done.stdout.split())
+    own = {name for name in imported[None] if name.startswith("ochreflow")}
+    layers = {name.split(".")[1] for name in own if "." in name}
+    assert layers == {"app", "core", "http", "membership", "policy"}
+    assert not own & {"ochreflow.app.operator", "ochreflow.app.logs"}
+    heavy = {"click", "msgspec", "structlog", "tomllib", "yaml", "numpy", "matplotlib", "cryptography"}
+    assert not imported[None] & heavy
+    assert imported["plain"] & heavy == {"msgspec", "tomllib"}
+    assert imported["json"] & heavy == {"msgspec", "tomllib", "structlog"}
