--- a/ochreflow/cli/main.py
+++ b/ochreflow/cli/main.py
@@ -115,6 +115,17 @@
     return _order(address, "/healthcheck/ok", "serving")
 
 
+@ochreflow.command(epilog=_example("ochreflow demo --seconds 20"))
+@click.option("--seconds", type=click.FloatRange(5, 600), default=20.0, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True, help="Of the load and the nodes.")
+@click.option("--keep", metavar="FOLDER", help="Keep the logs and ledgers there.")
+def demo(seconds: float, seed: int, keep: str | None) -> int:
+    """Play a sidecar among stand-in nodes that swallow, fail, drain and come up cold; judge the rules."""
+    from ..lab.demo import main as play
+
+    return play(seconds, seed, keep)
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run a command; what was asked wrongly is one plain line and exit code 2."""
     try:
--- a/ochreflow/core/engine.py
+++ b/ochreflow/core/engine.py
@@ -71,7 +71,9 @@
         self.carriage: Carriage | None = None  # None: it failed while it was being made
 
     def written(self) -> None:
-        self.engine.written(self.held, self)
+        self.engine.stats.forwarded()
+        if self.held.uploading:
+            self.engine.uploaded(self.held, self)
 
     def begin(self, head: object, length: int | None) -> bool:
         return self.engine.begin_answer(self.held, self, head, length)
@@ -294,7 +296,7 @@
         held = self.held.get(call.ticket)
         if held is not None:
             self._settle(held)
-            if log.debugs():
+            if log.debugging:
                 self._tell_verdict(held.door, call, Disposition.ABORTED, Reason.LEFT)
             self._abandon(held)
             self.post(api.Dropped(held.id))
@@ -307,7 +309,7 @@
         self, door: Door, owed_to: Owed, call: Call, disposition: Disposition, reason: Reason
     ) -> None:
         self.stats.ended(call.cls, disposition, door.counts)
-        if log.debugs():
+        if log.debugging:
             self._tell_verdict(door, call, disposition, reason)
         owed_to.verdict(call, Verdict(disposition, reason))
 
@@ -354,7 +356,7 @@
         """Give the one final answer."""
         self._settle(held)
         self.stats.ended(held.call.cls, verdict.disposition, held.door.counts)
-        if log.debugs():
+        if log.debugging:
             self._tell_verdict(held.door, held.call, verdict.disposition, verdict.reason)
         held.owed_to.verdict(held.call, verdict)
 
@@ -366,8 +368,9 @@
             held.timer.cancel()
         # Guards servers against a request without its body, which goes with the answer: what still waits
         # for a connection is not sent any more.
-        for attempt in self._out(held):
-            if attempt.carriage is not None and not attempt.carriage.begun:
+        for number in range(held.attempts):
+            attempt = self.attempts.get((held.id, number))
+            if attempt is not None and attempt.carriage is not None and not attempt.carriage.begun:
                 attempt.carriage.give_up(Status.CANCELLED)
 
     def _decided(self, ident: int, verdict: Verdict) -> None:
@@ -395,13 +398,11 @@
         timeout = None if flowing else wait / SECOND
         attempt.carriage = held.door.carrier.start(action.server, call, wait, timeout, attempt)
 
-    def written(self, held: Held, attempt: Attempt) -> None:
-        """The last byte of an attempt has been written."""
-        self.stats.forwarded()
-        if held.uploading:
-            held.uploading = False
-            attempt.sent_ns = self.now()
-            self.post(api.Uploaded(held.id, held.call.deadline_ns))
+    def uploaded(self, held: Held, attempt: Attempt) -> None:
+        """The last byte of an attempt whose body was still coming has been written: it begins now."""
+        held.uploading = False
+        attempt.sent_ns = self.now()
+        self.post(api.Uploaded(held.id, held.call.deadline_ns))
 
     def begin_answer(self, held: Held, attempt: Attempt, head: object, length: int | None) -> bool:
         """An answer begins to reach the client; from here on it has no deadline, only a pace."""
@@ -425,7 +426,7 @@
         self.attempts.pop((held.id, attempt.number), None)
         if status not in NEVER_RAN:
             held.may_have_run = True
-        if log.debugs():
+        if log.debugging:
             self._tell_attempt(held, attempt, status)
         if status is Status.OK and held.owed and held.relaying is None:
             self._finish(held, Verdict(Disposition.SUCCEEDED, Reason.ANSWERED, answer))
@@ -438,7 +439,7 @@
         self._settle(held)
         disposition = Disposition.SUCCEEDED if whole else Disposition.ABORTED
         self.stats.ended(held.call.cls, disposition, held.door.counts)
-        if log.debugs():
+        if log.debugging:
             self._tell_verdict(held.door, held.call, disposition, Reason.ANSWERED if whole else Reason.CUT)
         held.owed_to.end(held.call, whole)
 
--- a/ochreflow/core/log.py
+++ b/ochreflow/core/log.py
@@ -71,13 +71,10 @@
         """Write to this sink from now on, nothing below the level `least`."""
         self.sink = sink
         self.least = LEVELS[least]
+        self.debugging = least == "debug"  # asked for each request: it must cost nothing otherwise
         self.per_second = per_second
         self.windows: dict[str, list[float]] = {}  # by event: start of its second, written, held back
 
-    def debugs(self) -> bool:
-        """Whether debug events are written: what is said of each request must cost nothing else."""
-        return self.least <= LEVELS["debug"]
-
     def write(self, level: str, event: str, fields: dict[str, object]) -> None:
         if LEVELS[level] < self.least:
             return
--- a/ochreflow/core/ports.py
+++ b/ochreflow/core/ports.py
@@ -37,7 +37,7 @@
     LEFT = "left"  # its client has gone
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Verdict:
     """The one final answer to a request, for its front to word."""
 
--- a/ochreflow/http/connection.py
+++ b/ochreflow/http/connection.py
@@ -134,6 +134,7 @@
     def __init__(self, shared: Shared) -> None:
         self.shared = shared
         self.engine = shared.engine
+        self.clients = shared.clients
         self.parser = httptools.HttpRequestParser(self)
         self.transport: asyncio.Transport | None = None
         self.waiting: deque[HttpCall | Ready | RequestError] = deque()
@@ -200,7 +201,7 @@
         transport = cast(asyncio.Transport, transport)
         self.transport = transport
         transport.set_write_buffer_limits(high=0)
-        self.shared.clients.add(self)
+        self.clients.add(self)
 
     def data_received(self, data: bytes) -> None:
         if self.deaf or self.closed:
@@ -219,7 +220,7 @@
         if self.size > (BODY_MOST * FRAMING_MOST if self.in_body else HEADERS_MOST):
             self._reject(431, "headers are too long")
         self._pump()
-        self.shared.clients.place(self)
+        self.clients.place(self)
 
     def expire(self) -> None:
         """Its message has not come to an end in time; what it was taken for before is answered first."""
@@ -249,7 +250,7 @@
         # Guards the memory: the two refer to each other, and a day of ever new connections would leave
         # them all to the collector, which comes seldom.
         del self.parser
-        self.shared.clients.remove(self)
+        self.clients.remove(self)
         if call is not None:
             self.engine.left(call)
         self.engine.lifecycle.client_left()
@@ -258,9 +259,7 @@
         # Guards the memory against clients that ask and do not read.
         self.unread = True
         if self.slow is None and self.transport is not None:
-            self.slow = Patience(
-                self.engine.loop, self.transport, self.shared.clients.times.slow_reader, self.close
-            )
+            self.slow = Patience(self.engine.loop, self.transport, self.clients.times.slow_reader, self.close)
         if self.passing is not None:
             self.passing.pause(True)
 
@@ -272,7 +271,7 @@
         if self.passing is not None:
             self.passing.pause(False)
         self._pump()
-        self.shared.clients.place(self)
+        self.clients.place(self)
         if self.engine.lifecycle.emptying and self.quiet:
             self.close()
 
@@ -468,7 +467,7 @@
         keep_alive = current.keep_alive and verdict.reason is not Reason.DRAINING
         self._respond(*_worded(verdict), keep_alive)
         self._pump()
-        self.shared.clients.place(self)
+        self.clients.place(self)
 
     def begin(self, call: Call, head: object, length: int | None, pause: Pause) -> None:
         """The final answer has begun to come, and goes on to the client from its first bytes."""
@@ -505,7 +504,7 @@
         if not passing.keep_alive:
             self._leave()
         self._pump()
-        self.shared.clients.place(self)
+        self.clients.place(self)
 
     def _break_off(self) -> None:
         if self.transport is not None and not self.transport.is_closing():
--- /dev/null
+++ b/ochreflow/lab/ledger.py
@@ -0,0 +1,38 @@
+"""What a stand-in saw, one JSON line an event, each with its time in nanoseconds of Unix time."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from pathlib import Path
+from time import time_ns
+from typing import Any
+
+
+class Ledger:
+    """Written line by line, so that a kill cuts off no more than the last one."""
+
+    def __init__(self, path: Path | None) -> None:
+        self.file = path.open("a", buffering=1, encoding="utf-8") if path is not None else None
+
+    def note(self, what: str, **fields: object) -> None:
+        if self.file is not None:
+            event = {"what": what, "at": time_ns(), **fields}
+            self.file.write(json.dumps(event, separators=(",", ":")) + "\n")
+
+    def close(self) -> None:
+        if self.file is not None:
+            self.file.close()
+
+
+def read(path: Path) -> Iterator[dict[str, Any]]:
+    """The events of a ledger. A last line that a kill cut off is left out; any other is a ValueError."""
+    lines = path.read_bytes().split(b"\n")
+    for number, line in enumerate(lines, 1):
+        if not line:
+            continue
+        try:
+            yield json.loads(line)
+        except ValueError:
+            if number < len(lines):
+                raise ValueError(f"{path}: line {number} is no event") from None
--- /dev/null
+++ b/ochreflow/lab/serving.py
@@ -0,0 +1,123 @@
+"""HTTP/1.1 as the stand-ins serve it: whole requests in, answers out, one at a time on a connection."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import cast
+
+import httptools
+
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 500: "Internal Server Error"}
+
+
+class Asked:
+    """One request, and the way back."""
+
+    __slots__ = ("body", "connection", "headers", "method", "target")
+
+    def __init__(
+        self, connection: Connection, method: str, target: str, headers: dict[str, str], body: bytes
+    ) -> None:
+        self.connection = connection
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+    def answer(self, code: int, body: bytes = b"", *lines: str) -> bool:
+        """Write the answer; False if the one who asked has gone."""
+        return self.connection.answer(code, body, lines)
+
+    @property
+    def gone(self) -> bool:
+        return self.connection.transport is None
+
+
+class Connection(asyncio.Protocol):
+    def __init__(
+        self, number: int, serve: Callable[[Asked], None], left: Callable[[Connection], None]
+    ) -> None:
+        self.number = number
+        self.serve = serve
+        self.left = left
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.waiting: deque[Asked] = deque()
+        self.busy = False
+        self._begin()
+
+    def _begin(self) -> None:
+        self.target = b""
+        self.headers: dict[str, str] = {}
+        self.body = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.waiting.clear()
+        self.left(self)
+        del self.parser
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.cut()
+            return
+        self._next()
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, data: bytes) -> None:
+        self.body += data
+
+    def on_message_complete(self) -> None:
+        method, target = self.parser.get_method().decode(), self.target.decode("latin-1")
+        self.waiting.append(Asked(self, method, target, self.headers, self.body))
+        self._begin()
+
+    def _next(self) -> None:
+        if self.waiting and not self.busy:
+            self.busy = True
+            self.serve(self.waiting.popleft())
+
+    def answer(self, code: int, body: bytes, lines: tuple[str, ...]) -> bool:
+        if self.transport is None or self.transport.is_closing():
+            return False
+        head = [f"HTTP/1.1 {code} {REASONS.get(code, 'Service Unavailable')}", f"Content-Length: {len(body)}"]
+        self.transport.write("\r\n".join([*head, *lines, "", ""]).encode("latin-1") + body)
+        self.busy = False
+        self._next()
+        return True
+
+    def cut(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Service:
+    """All connections of a stand-in that listens."""
+
+    def __init__(self, serve: Callable[[Asked], None]) -> None:
+        self.serve = serve
+        self.connections: set[Connection] = set()
+        self.number = 0
+
+    def connection(self) -> Connection:
+        self.number += 1
+        made = Connection(self.number, self.serve, self.connections.discard)
+        self.connections.add(made)
+        return made
+
+    def cut_all(self) -> None:
+        """End every connection, as a process that dies does."""
+        for connection in list(self.connections):
+            connection.cut()
