--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -22,9 +22,11 @@
 )
 
 from ochreflow.core import body as bodies
+from ochreflow.core import lifecycle
 from ochreflow.core.body import HOLD_MOST, Body
 from ochreflow.core.limits import MB, Memory
 from ochreflow.http import clients, upstream
+from ochreflow.membership.directory import read_news
 from ochreflow.policy import interface as api
 
 BIG = 8 * MB
@@ -181,6 +183,41 @@
     run(play())
 
 
+@pytest.mark.parametrize("drains", ["the sidecar", "its server"])
+def test_an_answer_that_flows_while_a_drain_begins_comes_to_its_end(tmp_path, monkeypatch, drains):
+    monkeypatch.setattr(lifecycle, "EMPTY_AFTER", 0.0)
+
+    async def play():
+        async def act(reader, writer):
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (2 * len(PIECE)) + PIECE)
+            await go.wait()
+            writer.write(PIECE)
+
+        go = asyncio.Event()
+        server = await Server(act).start()
+        async with sidecar_before(tmp_path, server) as sidecar:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(message("order", "ab"))
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b" 200 " in head and await reader.readexactly(len(PIECE)) == PIECE
+            if drains == "the sidecar":
+                sidecar.engine.fail()
+                await until(lambda: sidecar.engine.lifecycle.emptying)
+            else:
+                change = news(2, entry("s1", server.address, "DRAINING"), snapshot=False)
+                sidecar.engine.on_news(read_news(change, sidecar.names))
+            go.set()
+            assert await reader.readexactly(len(PIECE)) == PIECE
+            if drains == "the sidecar":
+                assert await reader.read() == b""  # then it is let go
+            else:
+                assert not sidecar.upstreams.connections  # nothing more may go to it
+            assert sidecar.engine.stats.results[2] == [1, 0, 0]
+            writer.close()
+
+    run(play())
+
+
 def test_an_answer_in_small_chunks_is_passed_on_and_ends_well(tmp_path):
     async def play():
         async def chunks(reader, writer):
