Stand between sockets with a fault tool that plays the same run for the same seed

Tests mocked failures too kindly: nothing could half-close after a request and before its answer, garble inside a length, or swallow answers only, and do it again in the same way.

ochreflow.lab.fault is a pure machine for each connection, a framer that names the place of every byte, a checked script, and sockets at the rim, for streams and datagrams, steered by the script or live. Faults strike at bytes of messages and chance is drawn from seed and connection number, so a transcript's digest tells whether two runs were the same. ochreflow lab fault starts it.

--- a/ochreflow/cli/main.py
+++ b/ochreflow/cli/main.py
@@ -62,15 +62,19 @@
     return 0
 
 
-def _call(method: str, address: str, path: str) -> tuple[int, str]:
-    """One call to the operators' address of a sidecar; ClickException if there is no answer."""
+def _address(text: str) -> tuple[str, int]:
     from ..core.address import split_address
 
     try:
-        host, port = split_address(address)
+        return split_address(text, least_port=0)
     except ValueError:
-        wanted = f'ADDRESS: found "{address}", wanted an address and a port, such as "127.0.0.1:9100"'
+        wanted = f'ADDRESS: found "{text}", wanted an address and a port, such as "127.0.0.1:9100"'
         raise click.UsageError(wanted) from None
+
+
+def _call(method: str, address: str, path: str) -> tuple[int, str]:
+    """One call to the operators' address of a sidecar; ClickException if there is no answer."""
+    host, port = _address(address)
     connection = http.client.HTTPConnection(host, port, timeout=WITHIN)
     try:
         connection.request(method, path)
@@ -126,6 +130,39 @@
     return play(seconds, seed, keep)
 
 
+@ochreflow.group(epilog=_example("ochreflow lab fault --help"))
+def lab() -> None:
+    """Stand-ins and tools that break things on purpose."""
+
+
+@lab.command(epilog=_example("ochreflow lab fault --to 127.0.0.1:7070 --script faults.toml --seed 7"))
+@click.option("--to", "target", metavar="ADDRESS", required=True, help="Where traffic goes on.")
+@click.option("--listen", metavar="ADDRESS", default="127.0.0.1:0", show_default=True)
+@click.option("--script", metavar="FILE", help="A TOML file of [[fault]] tables.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--control", metavar="ADDRESS", help="Steer it live: POST /faults, POST /cut, GET /transcript.")
+@click.option("--udp", is_flag=True, help="Datagrams in place of connections.")
+def fault(target: str, listen: str, script: str | None, seed: int, control: str | None, udp: bool) -> int:
+    """Stand between sockets: delay, cut, half-close, garble; the same way for the same seed."""
+    import asyncio
+
+    from ..lab.fault.proxy import serve
+    from ..lab.fault.script import DATAGRAM_FAULTS, STREAM_FAULTS, ScriptError, read_script
+
+    try:
+        faults = read_script(script, DATAGRAM_FAULTS if udp else STREAM_FAULTS) if script else []
+    except ScriptError as error:
+        click.echo(str(error), err=True)
+        return FAULTY
+    where = [_address(text) for text in (listen, target)]
+    steered = _address(control) if control else None
+    try:
+        asyncio.run(serve(where[0], where[1], faults, seed, steered, udp))
+    except OSError as error:
+        raise click.ClickException(f"can't stand there: {error}") from None
+    return 0
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run a command; what was asked wrongly is one plain line and exit code 2."""
     try:
--- /dev/null
+++ b/ochreflow/lab/fault/framing.py
@@ -0,0 +1,149 @@
+"""Which part of a message each byte of a stream belongs to, however the bytes are cut into pieces.
+
+It follows HTTP/1.1 only as far as faults need places to be named. What it can't follow counts as body, to
+the end of the stream.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from enum import Enum
+
+LINE_MOST = 64 * 1024  # a line that is longer is no line
+
+
+class Place(Enum):
+    START = "start"  # before the first byte of a message
+    HEAD = "head"
+    LENGTH = "length"  # the value of Content-Length
+    CHUNK_SIZE = "chunk_size"
+    BODY = "body"
+    END = "end"  # after the last byte of a message
+
+
+Piece = tuple[Place, bytes]
+
+
+class Framer:
+    """Cuts one direction of a connection into labelled pieces; START and END come with no bytes."""
+
+    def __init__(self) -> None:
+        self.state = self._start
+        self.line = bytearray()
+        self.left = 0  # bytes of a body or chunk
+        self._clear()
+
+    def _clear(self) -> None:
+        self.length: int | None = None
+        self.chunked = False
+        self.first = b""  # the first line
+        self.name = ""  # of the header that is being read
+        self.value = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[Piece]:
+        """The pieces of what comes next. Joined, they are the data."""
+        at = 0
+        while at < len(data):
+            size, pieces = self.state(data, at)
+            yield from pieces
+            at += size
+
+    # Each state takes bytes from `at` on: how many it took, and the pieces they are.
+
+    def _start(self, data: bytes, at: int) -> tuple[int, list[Piece]]:
+        self._clear()
+        self.state = self._name
+        return 0, [(Place.START, b"")]
+
+    def _name(self, data: bytes, at: int) -> tuple[int, list[Piece]]:
+        """A line up to its end, or up to the colon of a header whose value has a place of its own."""
+        byte = data[at : at + 1]
+        self.line += byte
+        if byte == b"\n":
+            return 1, [(Place.HEAD, byte), *self._end_line()]
+        if byte == b":" and self.line[:-1].lower() == b"content-length":
+            self.state = self._value
+            self.value.clear()
+        elif len(self.line) > LINE_MOST:
+            self.state = self._rest
+        return 1, [(Place.HEAD, byte)]
+
+    def _value(self, data: bytes, at: int) -> tuple[int, list[Piece]]:
+        byte = data[at : at + 1]
+        if byte in b"\r\n":
+            self.state = self._name
+            self.length = int(self.value) if self.value.strip().isdigit() else None
+            return 0, []
+        self.value += byte
+        return 1, [(Place.HEAD if byte == b" " else Place.LENGTH, byte)]
+
+    def _end_line(self) -> list[Piece]:
+        line = bytes(self.line).strip()
+        self.line.clear()
+        if line:
+            if not self.first:
+                self.first = line
+            name, _, value = line.lower().partition(b":")
+            if name == b"transfer-encoding" and value.strip() == b"chunked":
+                self.chunked = True
+            return []
+        if not self.first:
+            return []  # an empty line in front of a message
+        return self._end_head()
+
+    def _end_head(self) -> list[Piece]:
+        words = self.first.split()
+        answer = self.first.startswith(b"HTTP/")
+        if self.chunked:
+            self.state = self._chunk_size
+        elif answer and (words[1:2] and words[1][:1] == b"1"):
+            self.state = self._start  # an interim answer: the real one follows
+        elif self.length:
+            self.left, self.state = self.length, self._body
+        elif answer and self.length is None:
+            self.state = self._rest
+        else:
+            return self._end_message()
+        return []
+
+    def _end_message(self) -> list[Piece]:
+        self.state = self._start
+        return [(Place.END, b"")]
+
+    def _body(self, data: bytes, at: int) -> tuple[int, list[Piece]]:
+        part = data[at : at + self.left]
+        self.left -= len(part)
+        return len(part), [(Place.BODY, part), *(self._end_message() if not self.left else [])]
+
+    def _chunk_size(self, data: bytes, at: int) -> tuple[int, list[Piece]]:
+        byte = data[at : at + 1]
+        self.line += byte
+        if byte != b"\n":
+            return 1, [(Place.CHUNK_SIZE, byte)]
+        text = bytes(self.line).split(b";")[0].strip()
+        self.line.clear()
+        try:
+            self.left = int(text, 16) + 2  # with the line end behind it
+            self.state = self._chunk if self.left > 2 else self._trailer
+        except ValueError:
+            self.state = self._rest
+        return 1, [(Place.CHUNK_SIZE, byte)]
+
+    def _chunk(self, data: bytes, at: int) -> tuple[int, list[Piece]]:
+        part = data[at : at + self.left]
+        self.left -= len(part)
+        if not self.left:
+            self.state = self._chunk_size
+        return len(part), [(Place.BODY, part)]
+
+    def _trailer(self, data: bytes, at: int) -> tuple[int, list[Piece]]:
+        byte = data[at : at + 1]
+        self.line += byte
+        if byte != b"\n":
+            return 1, [(Place.BODY, byte)]
+        line = bytes(self.line).strip()
+        self.line.clear()
+        return 1, [(Place.BODY, byte), *(self._end_message() if not line else [])]
+
+    def _rest(self, data: bytes, at: int) -> tuple[int, list[Piece]]:
+        return len(data) - at, [(Place.BODY, data[at:])]
--- /dev/null
+++ b/tests/test_fault.py
@@ -0,0 +1,424 @@
+"""The fault tool: each fault strikes at its byte, the same way twice, however the bytes are cut."""
+
+import asyncio
+import json
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from net_helpers import (
+    HOST,
+    WAIT,
+    Fake,
+    Sidecar,
+    ask,
+    config,
+    entry,
+    message,
+    news,
+    read_message,
+    run,
+    silent,
+)
+
+from ochreflow.lab.fault.framing import Framer, Place
+from ochreflow.lab.fault.machine import Close, Datagrams, Forward, HalfClose, Transcript, Wait, Wire
+from ochreflow.lab.fault.proxy import DatagramTool, Tool
+from ochreflow.lab.fault.script import Fault, ScriptError, Side, read_script
+
+ROOT = Path(__file__).parent.parent
+REQUEST = b"POST /order HTTP/1.1\r\nX-Request-Id: a\r\nContent-Length: 10\r\n\r\n0123456789"
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\nX-Load: 1\r\n\r\nabcdefghij"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+CHUNKS = CHUNKED + b"5\r\nabcde\r\n3;x=1\r\nfgh\r\n0\r\nX-T: y\r\n\r\n"
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+STREAMS = [
+    REQUEST * 2,
+    ANSWER * 3,
+    CHUNKS + ANSWER,
+    INTERIM + ANSWER,
+    b"\r\n\r\n" + REQUEST,
+    b"HTTP/1.1 200 OK\r\n\r\nto the end",
+    b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\nwhat",
+    b"GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+    bytes(range(256)) * 3,
+]
+
+
+def fault(do, side="answer", place="start", **more):
+    return msgspec.convert({"do": do, "side": side, "place": place, **more}, Fault)
+
+
+def cut_up(data, cuts):
+    places = sorted({cut % len(data) for cut in cuts})
+    return [data[a:b] for a, b in zip([0, *places], [*places, len(data)], strict=True) if a < b]
+
+
+def labelled(pieces):
+    """Each byte with its place, and the marks between, without regard to how the pieces were cut."""
+    return [label for place, part in pieces for label in ([(place, byte) for byte in part] or [place])]
+
+
+@given(st.sampled_from(STREAMS), st.lists(st.integers(0, 10_000), max_size=12))
+@settings(max_examples=150, deadline=None)
+def test_places_do_not_depend_on_how_the_bytes_are_cut(data, cuts):
+    whole = list(Framer().feed(data))
+    framer = Framer()
+    pieces = [piece for part in cut_up(data, cuts) for piece in framer.feed(part)]
+    assert b"".join(part for _, part in pieces) == data
+    assert labelled(pieces) == labelled(whole)
+
+
+def places(data):
+    found = {}
+    for place, part in Framer().feed(data):
+        found[place] = found.get(place, b"") + part
+    return found
+
+
+def test_every_place_is_found_where_it_is():
+    assert places(REQUEST)[Place.LENGTH] == b"10" and places(REQUEST)[Place.BODY] == b"0123456789"
+    assert places(ANSWER * 2)[Place.LENGTH] == b"1010"
+    assert places(CHUNKS)[Place.CHUNK_SIZE] == b"5\r\n3;x=1\r\n0\r\n"
+    kinds = [place for place, part in Framer().feed(INTERIM + ANSWER) if not part]
+    assert kinds == [Place.START, Place.START, Place.END]
+
+
+FAULTS = [
+    fault("cut", place="head", after=9),
+    fault("reset", place="body", after=3, message=1),
+    fault("half_close", place="end"),
+    fault("black_hole", place="length", after=1),
+    fault("garble", place="length", count=1),
+    fault("garble", place="head", after=2, count=30),
+    fault("garble", place="body", after=1, count=4, message=1),
+    fault("delay", ms=20, spread="heavy"),
+    fault("delay", place="body", ms=20, spread="uniform", after=2),
+    fault("rate", place="body", per_second=1000),
+    fault("cut", share=0.5, place="body", after=5),
+]
+
+
+def played(parts, faults, seed=3, number=0):
+    """What a wire makes of an answer that comes in parts: its transcript, and the actions, bytes joined."""
+    transcript = Transcript()
+    wire = Wire(seed, number, faults, transcript)
+    actions = [action for part in parts for action in wire.feed(Side.ANSWER, part)]
+    data = b"".join(action.data for action in actions if isinstance(action, Forward))
+    others = [action for action in actions if not isinstance(action, Forward | Wait)]
+    return transcript.digest(), data, others
+
+
+@given(
+    st.sampled_from([*FAULTS, None]),
+    st.sampled_from([ANSWER * 2, CHUNKS + ANSWER]),
+    st.lists(st.integers(0, 10_000), max_size=10),
+    st.integers(0, 5),
+)
+@settings(max_examples=250, deadline=None)
+def test_a_wire_does_the_same_however_the_bytes_are_cut(what, data, cuts, number):
+    faults = [what] if what is not None else FAULTS
+    assert played(cut_up(data, cuts), faults, 3, number) == played([data], faults, 3, number)
+
+
+def test_each_fault_strikes_at_its_byte():
+    def through(what, data=ANSWER * 2):
+        return played([data], [what])[1:]
+
+    assert through(FAULTS[0]) == (ANSWER[:9], [Close(reset=False)])
+    assert through(FAULTS[1]) == (ANSWER + ANSWER[:-7], [Close(reset=True)])
+    assert through(FAULTS[2]) == (ANSWER, [HalfClose()])
+    assert through(FAULTS[3]) == (ANSWER[: ANSWER.index(b"10") + 1], [])
+    data, _ = through(FAULTS[4])
+    assert len(data) == 2 * len(ANSWER) and data[len(ANSWER) :] == ANSWER
+    at = ANSWER.index(b"10")
+    assert data[:at] == ANSWER[:at] and data[at : at + 1].isdigit() and data[at] != ANSWER[at]
+    assert data[at + 1 : len(ANSWER)] == ANSWER[at + 1 :]
+    data, _ = through(fault("garble", place="chunk_size", count=1), CHUNKS)
+    assert data != CHUNKS and len(data) == len(CHUNKS) and data[: CHUNKS.index(b"5")] in CHUNKS
+
+
+def test_a_fault_that_is_set_while_a_message_is_half_through_strikes_in_it():
+    wire = Wire(1, 0, [], Transcript())
+    assert wire.feed(Side.ANSWER, ANSWER[:-6]) == [Forward(ANSWER[:-6])]
+    wire.arm([fault("cut", place="body", after=7), fault("cut", place="head", after=1)])
+    assert wire.feed(Side.ANSWER, ANSWER[-6:]) == [Forward(ANSWER[-6:-3]), Close(reset=False)]
+
+
+def test_another_seed_or_connection_is_another_run():
+    heavy = [fault("delay", ms=20, spread="heavy")]
+    digests = {played([ANSWER], heavy, seed, number)[0] for seed in range(4) for number in range(4)}
+    assert len(digests) == 16
+    halves = [played([ANSWER], [fault("cut", share=0.5)], 1, number)[2] for number in range(200)]
+    assert 70 < sum(bool(others) for others in halves) < 130
+
+
+# On sockets, in front of a sidecar's server
+
+
+async def through_tool(tmp_path, faults, cls, answer, deadline):
+    """One request through a sidecar whose server is behind the tool: what the client got, and the runs."""
+
+    async def act(message, reader, writer):
+        writer.write(answer)
+
+    fake = await Fake(act).start()
+    loop = asyncio.get_running_loop()
+    tool = Tool((HOST, fake.port), faults, seed=5)
+    server = await loop.create_server(tool.accept, HOST, 0)
+    address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+    async with Sidecar(tmp_path / "c", config(news(1, entry("s1", address)))) as sidecar:
+        try:
+            got = await ask(sidecar.port, message(cls, "ab", deadline, b"x" * 10 if cls == "order" else b""))
+            word = {200: "served", 503: "refused"}.get(got.code, "failed")
+        except (OSError, asyncio.IncompleteReadError):
+            word = "cut"
+    tool.close()
+    server.close()
+    # Requests tell the time that is left, so the same traffic twice is what servers answer.
+    answers = [line for line in tool.transcript.lines() if " answer " in line]
+    return word, len(fake.got), answers
+
+
+# Any other digit in the place of the nought makes the length longer than what comes. A shorter one can't be
+# told from a good answer with something behind it, which servers may send.
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 010\r\n\r\n0123456789"
+ONCE = {"most": 1}  # only the first connection, so that a repeat finds the way free
+SEEN = {  # what happens to the first attempt: (order's word and runs), (lookup's word and runs)
+    "answer cut before its first byte": (fault("cut", **ONCE), ("failed", 1), ("served", 2)),
+    "answer cut in its head": (fault("cut", place="head", after=9, **ONCE), ("failed", 1), ("served", 2)),
+    "answer cut after its head": (fault("cut", place="body", **ONCE), ("failed", 1), ("served", 2)),
+    "answer reset in its body": (
+        fault("reset", place="body", after=5, **ONCE),
+        ("failed", 1),
+        ("served", 2),
+    ),
+    "half-close after the request": (
+        fault("half_close", "request", "end", **ONCE),
+        ("served", 1),
+        ("served", 1),
+    ),
+    "half-close before the answer": (fault("half_close", **ONCE), ("failed", 1), ("served", 2)),
+    "head garbled": (fault("garble", place="head", count=6, **ONCE), ("failed", 1), ("served", 2)),
+    "length garbled": (fault("garble", place="length", **ONCE), ("failed", 1), ("served", 2)),
+    "request swallowed": (fault("black_hole", "request", **ONCE), ("failed", 0), ("refused", 0)),
+    "answer swallowed": (fault("black_hole", **ONCE), ("failed", 1), ("refused", 1)),
+    "request cut half-way": (
+        fault("cut", "request", "head", after=40, **ONCE),
+        ("failed", 0),
+        ("served", 1),
+    ),
+    "answer delayed": (fault("delay", ms=60, **ONCE), ("served", 1), ("served", 1)),
+    "answer dripping": (fault("rate", per_second=400, **ONCE), ("served", 1), ("served", 1)),
+}
+
+
+@pytest.mark.parametrize("name", SEEN)
+def test_a_sidecar_meets_each_failure_and_repeats_only_what_it_may(tmp_path, name):
+    what, *expected = SEEN[name]
+
+    async def play():
+        for cls, (word, runs) in zip(("order", "lookup"), expected, strict=True):
+            first = await through_tool(tmp_path, [what], cls, OK, "1500m")
+            assert first[:2] == (word, runs), cls
+            if cls == "order":  # a repeat's time is the sidecar's chance, not the tool's
+                assert await through_tool(tmp_path, [what], cls, OK, "1500m") == first
+
+    run(play())
+
+
+def test_a_garbled_chunk_size_shows_as_a_broken_answer(tmp_path):
+    async def play():
+        what = [fault("garble", place="chunk_size", after=4, count=1)]
+        chunked = CHUNKED + b"1\r\na\r\n4\r\nbcde\r\n0\r\n\r\n"
+        word, runs, answers = await through_tool(tmp_path, what, "order", chunked, "1500m")
+        assert (word, runs) in (("cut", 1), ("failed", 1))
+        assert (await through_tool(tmp_path, what, "order", chunked, "1500m"))[2] == answers
+
+    run(play())
+
+
+def test_a_reset_reaches_a_peer_that_has_data_unread(tmp_path):
+    async def play():
+        async def act(message, reader, writer):
+            writer.write(OK)
+
+        fake = await Fake(act).start()
+        tool = Tool((HOST, fake.port), [fault("reset", place="end")], 1)
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(tool.accept, HOST, 0)
+        sock = socket.create_connection(server.sockets[0].getsockname())
+        sock.setblocking(False)
+        await loop.sock_sendall(sock, REQUEST)
+        async with asyncio.timeout(WAIT):
+            while tool.pairs or not tool.number:
+                await asyncio.sleep(0.001)
+            with pytest.raises(ConnectionResetError):
+                while await loop.sock_recv(sock, 5):
+                    pass
+        sock.close()
+        server.close()
+
+    run(play())
+
+
+def test_it_is_steered_live_and_tells_what_it_did(tmp_path):
+    async def play():
+        async def act(message, reader, writer):
+            writer.write(OK)
+
+        fake = await Fake(act).start()
+        tool = Tool((HOST, fake.port), [], 1)
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(tool.accept, HOST, 0)
+        control = await loop.create_server(tool.control().connection, HOST, 0)
+        steer = control.sockets[0].getsockname()[1]
+
+        async def order(method, path, body=b""):
+            head = f"{method} {path} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+            return await ask(steer, head + body)
+
+        reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        writer.write(REQUEST)
+        assert (await read_message(reader)).code == 200
+        writer.write(REQUEST[:30])
+        wrong = await order("POST", "/faults", b'[{"do": "cut", "place": "nowhere"}, {"do": "drop"}]')
+        assert wrong.code == 400 and wrong.body.count(b"/faults: fault[") == 2
+        cut = [{"do": "cut", "side": "request", "place": "body", "after": 4, "message": 1}]
+        assert (await order("POST", "/faults", json.dumps(cut).encode())).code == 200
+        writer.write(REQUEST[30:])
+        assert await reader.read() == b""
+        told = json.loads((await order("GET", "/transcript")).body)
+        assert told["lines"][1].startswith(f"0 request {2 * len(REQUEST) - 6} ") and "cut" in told["lines"][1]
+        assert told["digest"] == tool.transcript.digest()
+        assert (await order("GET", "/nothing")).code == 404
+        writer.close()
+        server.close()
+
+    run(play())
+
+
+# Datagrams
+
+
+def test_datagrams_are_dropped_doubled_delayed_garbled_and_put_out_of_order():
+    def sent(*faults, count=4):
+        machine = Datagrams(2, faults, Transcript())
+        return [
+            [data for _, data in machine.feed(Side.REQUEST, b"%d-abc" % number)] for number in range(count)
+        ]
+
+    def on_requests(do, **more):
+        return fault(do, "request", **more)
+
+    assert sent(on_requests("drop", message=1, most=1)) == [[b"0-abc"], [], [b"2-abc"], [b"3-abc"]]
+    assert sent(on_requests("duplicate", message=3)) == [[b"0-abc"], [b"1-abc"], [b"2-abc"], [b"3-abc"] * 2]
+    assert sent(on_requests("reorder", most=1))[:2] == [[], [b"1-abc", b"0-abc"]]
+    garbled = sent(on_requests("garble", after=2, count=2))
+    assert all(
+        one[0][:2] == b"%d-" % n and one[0][2:4] != b"ab" and one[0][4:] == b"c"
+        for n, one in enumerate(garbled)
+    )
+    machine = Datagrams(2, [on_requests("delay", ms=50)], Transcript())
+    assert machine.feed(Side.REQUEST, b"x") == [(0.05, b"x")] and machine.feed(Side.ANSWER, b"y") == [
+        (0.0, b"y")
+    ]
+
+
+def test_datagrams_go_through_and_their_answers_find_the_way_back():
+    async def play():
+        class Echo(asyncio.DatagramProtocol):
+            def connection_made(self, transport):
+                self.transport = transport
+
+            def datagram_received(self, data, addr):
+                self.transport.sendto(b"re:" + data, addr)
+
+        class Asker(asyncio.DatagramProtocol):
+            def __init__(self):
+                self.got = asyncio.Queue()
+
+            def datagram_received(self, data, addr):
+                self.got.put_nowait(data)
+
+        loop = asyncio.get_running_loop()
+        digests = []
+        for _ in range(2):
+            echo, _ = await loop.create_datagram_endpoint(Echo, local_addr=(HOST, 0))
+            faults = [fault("duplicate", "answer", message=1, most=1), fault("drop", "request", most=1)]
+            tool = Tool(echo.get_extra_info("sockname"), faults, 1, datagrams=True)
+            between, _ = await loop.create_datagram_endpoint(
+                lambda tool=tool: DatagramTool(tool), local_addr=(HOST, 0)
+            )
+            asker, protocol = await loop.create_datagram_endpoint(
+                Asker, remote_addr=between.get_extra_info("sockname")
+            )
+            async with asyncio.timeout(WAIT):
+                asker.sendto(b"lost")
+                for name, copies in ((b"a", 1), (b"b", 2), (b"c", 1)):
+                    asker.sendto(name)
+                    assert [await protocol.got.get() for _ in range(copies)] == [b"re:" + name] * copies
+            digests.append(tool.transcript.digest())
+            for transport in (echo, between, asker):
+                transport.close()
+        assert digests[0] == digests[1]
+
+    run(play())
+
+
+def test_the_command_stands_between_and_tells_what_it_did(tmp_path):
+    async def play():
+        fake = await Fake(silent).start()
+        path = tmp_path / "s.toml"
+        path.write_text('[[fault]]\ndo = "cut"\nside = "request"\nplace = "body"\nafter = 3\n')
+        command = ["-m", "ochreflow.cli", "lab", "fault", "--to", fake.address, "--script", str(path)]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, *command, cwd=ROOT, stdout=asyncio.subprocess.PIPE
+        )
+        async with asyncio.timeout(WAIT):
+            where = (await process.stdout.readline()).split()[-1].decode()
+            reader, writer = await asyncio.open_connection(*where.split(":"))
+            writer.write(REQUEST)
+            assert await reader.read() == b""
+            process.send_signal(signal.SIGTERM)
+            said = (await process.stdout.read()).decode().splitlines()
+            assert await process.wait() == 0
+        writer.close()
+        sent = len(REQUEST) - 7
+        assert said[0].startswith(f"0 request {sent} ") and said[0].endswith(f" {sent} cut")
+        assert said[1].startswith("digest ") and len(said) == 2
+
+    run(play())
+
+
+def test_a_script_tells_all_that_is_wrong_with_it(tmp_path):
+    path = tmp_path / "s.toml"
+    good = '[[fault]]\ndo = "cut"\nside = "request"\nplace = "length"\nafter = 1\n'
+    path.write_text(good)
+    assert read_script(str(path), ("cut",)) == [fault("cut", "request", "length", after=1)]
+    path.write_text(
+        good + '[[fault]]\ndo = "cat"\n[[fault]]\ndo = "rate"\n[[fault]]\ndo = "cut"\nshare = 2.0\n'
+    )
+    with pytest.raises(ScriptError) as caught:
+        read_script(str(path), ("cut", "rate"))
+    lines = str(caught.value).splitlines()
+    assert [line.split(": ")[1] for line in lines] == ["fault[1]", "fault[2]", "fault[3]"]
+    command = [
+        sys.executable,
+        "-m",
+        "ochreflow.cli",
+        "lab",
+        "fault",
+        "--to",
+        f"{HOST}:1",
+        "--script",
+        str(path),
+    ]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=20)
+    assert done.returncode == 2 and len(done.stderr.splitlines()) == 3
