Play scenarios of whole fleets, and convict a sabotaged build for each rule

The demo was one run in code. Nothing could play another fleet or time line, and nothing showed that the judge would find a broken rule in a real program.

Scenarios are TOML files now, checked before anything starts: fleet, kinds of requests, load with waves and bursts, and a time line of thirteen kinds of trouble, kills of nodes and sidecars and an absent directory among them. A library has twelve; the demo is one of them. ochreflow lab run plays any by seeds, some at a time, with a verdict and the worth for each. Losses while a killed sidecar is not back are excused; a run in which the clients fell behind is void. A node counts against its cold limit all that is sent to it.

--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -23,9 +23,8 @@
 from pathlib import Path
 
 import uvloop
-from overhead import HOST, NAMES, ROOT, node, request
+from overhead import HOST, NAMES, ROOT, config, node, request
 
-from ochreflow.lab.demo import config
 from ochreflow.lab.load import Client
 
 CLIENTS = 4
--- a/ochreflow/cli/main.py
+++ b/ochreflow/cli/main.py
@@ -135,6 +135,25 @@
     """Stand-ins and tools that break things on purpose."""
 
 
+@lab.command(name="run", epilog=_example("ochreflow lab run quiet burst --seeds 3 --out results.jsonl"))
+@click.argument("scenarios", nargs=-1, metavar="SCENARIO...")
+@click.option("--seeds", type=click.IntRange(1, 1000), default=1, show_default=True, help="Runs of each.")
+@click.option("--jobs", type=click.IntRange(1, 64), default=1, show_default=True, help="Runs at a time.")
+@click.option("--seconds", type=click.FloatRange(2, 3600), help="In place of the scenario's own length.")
+@click.option("--out", metavar="FILE", help="A JSON line for each run is added to it.")
+def lab_run(scenarios: tuple[str, ...], seeds: int, jobs: int, seconds: float | None, out: str | None) -> int:
+    """Play scenarios of the library, or of files that end in .toml, and judge each run."""
+    from ..lab.runs import run_all
+    from ..lab.scenario import ScenarioError, names
+
+    if not scenarios:
+        raise click.UsageError(f"name a scenario: {', '.join(names())}")
+    try:
+        return run_all(list(scenarios), seeds, jobs, seconds, out)
+    except ScenarioError as error:
+        raise click.UsageError(str(error)) from None
+
+
 @lab.command(epilog=_example("ochreflow lab fault --to 127.0.0.1:7070 --script faults.toml --seed 7"))
 @click.option("--to", "target", metavar="ADDRESS", required=True, help="Where traffic goes on.")
 @click.option("--listen", metavar="ADDRESS", default="127.0.0.1:0", show_default=True)
--- a/ochreflow/lab/directory.py
+++ b/ochreflow/lab/directory.py
@@ -34,6 +34,7 @@
         self.index = 0
         self.entries: dict[str, tuple[int, dict[str, Any]]] = {}
         self.watches: dict[Waiting, None] = {}
+        self.down = False  # answers nobody but the lab
         self.service = Service(self.serve)
 
     def put(self, entry: dict[str, Any]) -> None:
@@ -48,11 +49,13 @@
         parts = urlsplit(asked.target)
         if parts.path == CONTROL and asked.method == "POST":
             try:
-                self.put(self._full(json.loads(asked.body)))
+                self._order(json.loads(asked.body))
             except (ValueError, KeyError, TypeError) as error:
                 asked.answer(400, str(error).encode())
                 return
             asked.answer(200)
+        elif self.down:
+            asked.answer(503)
         elif parts.path != TARGETS:
             asked.answer(404)
         elif "after" in (query := parse_qs(parts.query)):
@@ -60,6 +63,17 @@
         else:
             self._answer(asked, True, [entry for _, entry in self.entries.values()])
 
+    def _order(self, order: dict[str, Any]) -> None:
+        if "down" in order:
+            self.down = bool(order["down"])
+            self.ledger.note("down" if self.down else "up")
+            for watch in list(self.watches):
+                del self.watches[watch]
+                watch.timer.cancel()
+                watch.asked.connection.cut()  # watches end when it goes down
+        else:
+            self.put(self._full(order))
+
     def _full(self, change: dict[str, Any]) -> dict[str, Any]:
         """An entry that is only changed keeps the rest of what it was."""
         known = self.entries.get(change["name"])
--- a/ochreflow/lab/ledger.py
+++ b/ochreflow/lab/ledger.py
@@ -13,6 +13,7 @@
     """Written line by line, so that a kill cuts off no more than the last one."""
 
     def __init__(self, path: Path | None) -> None:
+        self.path = path
         self.file = path.open("a", buffering=1, encoding="utf-8") if path is not None else None
 
     def note(self, what: str, **fields: object) -> None:
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,168 @@
+"""Scenarios on real processes: a good build keeps every rule, each sabotaged one breaks its own."""
+
+import asyncio
+import json
+import shutil
+from pathlib import Path
+
+import msgspec
+import pytest
+import uvloop
+from test_operator_file import command
+
+import ochreflow
+from ochreflow.lab.judge import RULES
+from ochreflow.lab.runs import worth
+from ochreflow.lab.scenario import Burst, Scenario, ScenarioError, names, read_scenario
+from ochreflow.lab.stage import Stage
+
+PROGRAM = Path(ochreflow.__file__).parent
+KINDS = {
+    "exposure": {"share": 0.7, "work": 0.045, "repeat": "keyed", "deadline": 2.0},
+    "assign": {"share": 0.3, "work": 0.03, "repeat": "unsafe", "deadline": 2.0},
+}
+
+
+def scenario(seconds, rate, nodes, *steps, **fleet):
+    given = {
+        "says": "of a test",
+        "kinds": KINDS,
+        "seconds": seconds,
+        "load": {"rate": rate},
+        "fleet": {"nodes": nodes, **fleet},
+        "steps": [dict(zip(("at", "do", "nodes", "much"), step, strict=False)) for step in steps],
+    }
+    return msgspec.convert(given, Scenario)
+
+
+TROUBLED = scenario(5.0, 60, 4, (0.1, "swallow", [1]), (0.3, "fail", [2], 0.7), (0.6, "well", [1, 2]))
+DRAINED = scenario(5.0, 40, 3, (0.1, "drain", [1]))
+KILLED = scenario(  # nodes that hold a good deal die one after the other
+    6.0,
+    60,
+    6,
+    (0.05, "slow", [1, 2, 3, 4, 5, 6], 4.0),
+    *((at, "vanish", [node]) for at, node in ((0.3, 1), (0.45, 2), (0.6, 3), (0.75, 4))),
+)
+COLD = msgspec.structs.replace(
+    scenario(7.0, 100, 2, (0.1, "gone", [1]), (0.12, "come", [3]), warm_within=60.0, start_capacity=0.05),
+    sidecars=4,
+)
+SABOTAGE = {  # the rule: where one line is changed, what it becomes, and a scenario in which it matters
+    "one final answer": (
+        "core/engine.py",
+        "        held.owed_to.verdict(held.call, verdict)",
+        "        verdict.answer and held.owed_to.verdict(held.call, verdict)",
+        TROUBLED,
+    ),
+    "no repeat beyond the class": (
+        "policy/logic.py",
+        "if spec.scope is Scope.CELL and other.cell != server.cell:",
+        "if spec.scope is Scope.ZONE and other.cell != server.cell:",
+        KILLED,
+    ),
+    "drains kept": (
+        "membership/directory.py",
+        '"DRAINING": State.DRAINING',
+        '"DRAINING": State.READY',
+        DRAINED,
+    ),
+    "no cold node pushed over": (
+        "policy/logic.py",
+        "        return self._cold_allows(server, req.cls, False)",
+        "        return bool(server.started) or self.random.random() < 0.1",
+        COLD,
+    ),
+    "true answers": (
+        "http/connection.py",
+        "return 200, _lines(answer), answer.body",
+        "return 200, _lines(answer), answer.body[:-1]",
+        DRAINED,
+    ),
+}
+
+
+def sabotaged(folder, file, old, new):
+    """A copy of the program with one line changed."""
+    shutil.copytree(PROGRAM, folder / "ochreflow", ignore=shutil.ignore_patterns("__pycache__"))
+    path = folder / "ochreflow" / file
+    text = path.read_text()
+    assert text.count(old) == 1
+    path.write_text(text.replace(old, new))
+    return folder
+
+
+def test_each_sabotaged_build_is_convicted_and_a_good_one_is_not(tmp_path):
+    """All at once: each is little load, and most of its time is waiting."""
+    assert set(SABOTAGE) == set(RULES)
+
+    async def play(name, made, program):
+        folder = tmp_path / name
+        folder.mkdir()
+        return name, await Stage(made, folder, 1, program).run()
+
+    async def play_all():
+        runs = [
+            play(f"good {number}", made, None)
+            for number, made in enumerate((TROUBLED, DRAINED, KILLED, COLD))
+        ]
+        for number, (rule, (file, old, new, made)) in enumerate(SABOTAGE.items()):
+            runs.append(play(rule, made, sabotaged(tmp_path / f"program {number}", file, old, new)))
+        return dict(await asyncio.gather(*runs))
+
+    played = uvloop.run(play_all())
+    for name, run in played.items():
+        broken = {finding.rule for finding in run.report.findings}
+        if name in SABOTAGE:
+            assert name in broken, name
+        else:
+            assert not run.report.findings and not run.crashed, name
+        assert sum(counts["asked"] for counts in run.report.by_class.values()) > 100
+
+
+def test_the_library_is_fine_and_the_command_plays_it(tmp_path):
+    assert len(names()) >= 12
+    for name in names():
+        assert read_scenario(name).says
+    out = tmp_path / "r.jsonl"
+    done = command("lab", "run", "quiet", "kill-loop", "--jobs", "2", "--seconds", "5", "--out", str(out))
+    assert done.returncode in (0, 3), done.stdout + done.stderr
+    results = {line["scenario"]: line for line in map(json.loads, out.read_text().splitlines())}
+    assert set(results) == {"quiet", "kill-loop"}
+    assert results["quiet"]["verdict"] != "broken" and results["quiet"]["worth"] > 0.9
+    assert results["kill-loop"]["verdict"] != "broken"
+
+
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        ('says = "x"\n', "kinds"),
+        ("speed = 1\n", "speed"),
+        ('[[steps]]\nat = 2.0\ndo = "drain"\n', "steps[0].at"),
+        ('[[steps]]\nat = 0.1\ndo = "explode"\n', "explode"),
+        ('[[steps]]\nat = 0.1\ndo = "drain"\nnodes = [9]\n', "nodes that are not there: 9"),
+        ("[load]\nrate = 0\n", "load.rate"),
+        ("[", "Invalid"),
+    ],
+)
+def test_a_bad_scenario_is_one_line(tmp_path, change, said):
+    kinds = '[kinds.a]\nshare = 1\nwork = 0.1\nrepeat = "safe"\n'
+    path = tmp_path / "s.toml"
+    path.write_text(change if "says" in change or change == "[" else f'says = "x"\n{kinds}{change}')
+    if change.startswith("speed"):
+        path.write_text(f'says = "x"\n{change}{kinds}')
+    with pytest.raises(ScenarioError) as caught:
+        read_scenario(str(path))
+    assert said in str(caught.value) and "\n" not in str(caught.value)
+    done = command("lab", "run", str(path))
+    assert done.returncode == 2 and done.stderr.count("\n") == 1
+
+
+def test_the_load_follows_its_shape_and_worth_counts_what_was_in_time(tmp_path):
+    made = scenario(10.0, 50, 1)
+    load = msgspec.structs.replace(made.load, bursts=(Burst(0.4, 0.5, 2.5),), wave=0.5)
+    stage = Stage(msgspec.structs.replace(made, load=load), tmp_path, 1)
+    assert stage.times(0.0) == 1.5 and stage.times(5.0) == 0.5
+    assert stage.times(4.5) / stage.times(5.5) == pytest.approx(2.5)
+    counts = {"asked": 10, "in_time": 5}
+    assert worth(made, {"exposure": counts, "assign": {"asked": 0, "in_time": 0}}) == 0.5
