Take no request for a late retry because it waited in line here

Cause: the module tells a client's late try by its short deadline, and measured that from when it took the request up. A request that had waited more than two ticks behind others of its connection looked old by that time, and was refused where others were open.

The request event says how long it waited since it had come; the module counts that as time the client had given.

Ruled out on the way: a class whose clients always state less than its deadline is learned within some requests, and is another matter.

--- a/ochreflow/core/engine.py
+++ b/ochreflow/core/engine.py
@@ -267,6 +267,7 @@
                 call.is_retry,
                 call.is_write,
                 held.uploading,
+                max(self.now() - (call.deadline_ns - call.wait_ns), 0),
             )
         )
 
--- a/ochreflow/policy/interface.py
+++ b/ochreflow/policy/interface.py
@@ -142,6 +142,7 @@
     is_retry: bool = False
     is_write: bool = False
     uploading: bool = False  # its body is still coming: its deadline is set anew by `Uploaded`
+    waited_ns: int = 0  # since it had come, behind others of its client, before it was taken up
 
 
 @dataclass(slots=True)
--- a/ochreflow/policy/logic.py
+++ b/ochreflow/policy/logic.py
@@ -1044,12 +1044,13 @@
         """
         spec = req.spec
         left = event.deadline_ns - self.now
+        given = left + event.waited_ns  # by its client: time spent in line here is not a later try's age
         usual = self.usual[event.cls]
         span = self.try_span[event.cls]
         if not event.is_retry:
-            span = max(left, span + TRY_FADE * (left - span))
+            span = max(given, span + TRY_FADE * (given - span))
             self.try_span[event.cls] = span
-        if left < span - 2 * self.settings.tick_ns:
+        if given < span - 2 * self.settings.tick_ns:
             req.age = spec.deadline_ns - left
             in_time = _part(spec.objective_ns - req.age, usual)
         elif event.is_retry and spec.deadline_ns > span:
--- a/tests/test_net_front.py
+++ b/tests/test_net_front.py
@@ -93,8 +93,8 @@
                 writer.write(bytes([byte]))
                 await asyncio.sleep(0)
             assert (await read_message(reader)).body == b"served 1"
-            # With the class's whole deadline: a shorter one that has waited in line looks like a late retry
-            # to the module, which may refuse it on a machine that is slow.
+            # With the class's whole deadline: until it has seen some, the module takes a shorter one for a
+            # late retry, and may refuse it where others are open.
             many = [message("order", f"id{n}", "4000m", b"%d" % n) for n in range(40)]
             writer.write(b"".join(many) + raw(b"GET /nothing") + raw(b"GET /-/ready"))
             for n in range(40):
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -328,3 +328,18 @@
     done = play_timers(balancer, now, balancer.handle(now, request(7, now)), now + 2 * SECOND)
     ((when, refuse),) = [(when, action) for when, action in done if isinstance(action, Refuse)]
     assert now < when < now + SECOND and refuse.retry_after_ns > 0
+
+
+@pytest.mark.parametrize(("waited", "sent"), [(0, False), (300 * MS, True)])
+def test_time_in_line_is_not_a_late_retrys_age(waited, sent):
+    """A short deadline tells an old try; one that has only waited here behind others is not old."""
+    balancer, now = make(effect=Effect.UNSAFE)
+    for ident in range(20):  # the clients' usual tries are half as long as the class allows
+        send = next(a for a in balancer.handle(now, request(ident, now, SECOND)) if isinstance(a, Send))
+        balancer.handle(now + 50 * MS, Outcome(ident, 0, send.server, Status.OK, 50 * MS, True))
+        now += 100 * MS
+    for ident in range(100, 104):  # some are open, so that what is worth little is not let in
+        assert any(isinstance(a, Send) for a in balancer.handle(now, request(ident, now, SECOND)))
+    late = Request(200, 0, 0, now + 700 * MS, waited_ns=waited)
+    actions = balancer.handle(now, late)
+    assert any(isinstance(action, Send) for action in actions) == sent
