--- a/ochreflow/lab/stage.py
+++ b/ochreflow/lab/stage.py
@@ -35,7 +35,6 @@
     report: Report
     lag: float  # seconds, the longest by which a client's send was late
     crashed: list[str] = field(default_factory=list)  # processes that ended by themselves
-    rows: list[str] = field(default_factory=list)
 
     @property
     def void(self) -> bool:
@@ -118,7 +117,6 @@
         self.listed: list[dict] = []
         self.loads: list[Load] = []
         self.said = "all is well"
-        self.tasks: set[asyncio.Task[None]] = set()
         self.ledger = Ledger(folder / "stage.jsonl")
         self.expected: set[str] = set()  # processes that were killed on purpose
         self.crashed: list[str] = []
