Mend what a last reading found: a leak, a blind spot, a trace in place of a line

Read again as a whole, the change had these defects, each shown before it was mended: - The fault tool never let go of a connection that both ends had ended in order: 20 closed connections left 20 open pairs. - The lab's clients ignored a second answer, so that the judge could not convict one in a real run; and a request that a close had crossed was sent again on other idle connections, without a bound, though the text said a new one, once. - A library that the operator's file needs and that is missing was a trace at the start, and on SIGHUP came after the operators' address had moved.

--- a/ochreflow/app/process.py
+++ b/ochreflow/app/process.py
@@ -74,7 +74,7 @@
     engine = sidecar.engine
     management = Management(loop, engine)
     reloader = Reloader(loop, sidecar, management, options, path)
-    reloader.take_options(options)
+    reloader.take_options(options, options.sink())
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, engine.lifecycle.terminate)
     loop.add_signal_handler(signal.SIGHUP, reloader.ask)
--- a/ochreflow/app/reload.py
+++ b/ochreflow/app/reload.py
@@ -28,13 +28,26 @@
         """ConfigError, in one line, if it can't be used."""
         if path is None:
             return cls()
-        from .operator import FaultsError, read_file
-
+        try:
+            from .operator import FaultsError, read_file
+        except ImportError as error:
+            raise ConfigError(f"{path}: {error}: an operator's file needs requirements-cli.txt") from None
         try:
             return cls(path, read_file(path))
         except FaultsError as faults:
             raise ConfigError(str(faults)) from None
 
+    def sink(self) -> Sink:
+        """Where events go. ConfigError if the form needs what is not installed."""
+        form = self.file.log.format if self.file is not None else "plain"
+        if form == "plain":
+            return plain
+        try:
+            from .logs import structured
+        except ImportError as error:
+            raise ConfigError(f"{self.path}: log.format: {error}: see requirements-cli.txt") from None
+        return structured(form)
+
     def _get(self, table: str, key: str) -> Any:
         return getattr(getattr(self.file, table), key) if self.file is not None else None
 
@@ -103,6 +116,7 @@
         config: Config = read_config(self.path)
         options = Options.read(self.options.path)
         changed = self.options.changed(options)
+        sink = options.sink()
         if "operators.listen" in changed:
             try:
                 await self.management.listen(options.operators or config.management)
@@ -110,19 +124,14 @@
                 raise ConfigError(f"{options.path}: operators.listen: {error.strerror or error}") from None
         self.sidecar.reload(config)
         if changed:
-            self.take_options(options)
+            self.take_options(options, sink)
             log.info("reload_taken", changed=", ".join(changed))
 
-    def take_options(self, options: Options) -> None:
+    def take_options(self, options: Options, sink: Sink) -> None:
         self.options = options
         file = options.file
         if file is None:
             return
-        sink: Sink = plain
-        if file.log.format != "plain":
-            from .logs import structured
-
-            sink = structured(file.log.format)
         log.use(sink, file.log.level, file.log.per_second)
         times = self.sidecar.http.clients.times
         times.head = file.clients.head_within
--- a/ochreflow/core/engine.py
+++ b/ochreflow/core/engine.py
@@ -101,6 +101,11 @@
     relaying: Attempt | None = None  # whose answer is on its way to the client already
 
 
+def _shown(call: Call) -> str:
+    """A request's name, for the log."""
+    return call.name.decode("latin-1") if isinstance(call.name, bytes) else str(call.name)
+
+
 class Engine:
     def __init__(
         self,
@@ -315,11 +320,10 @@
         owed_to.verdict(call, Verdict(disposition, reason))
 
     def _tell_verdict(self, door: Door, call: Call, disposition: Disposition, reason: Reason) -> None:
-        name = call.name.decode("latin-1") if isinstance(call.name, bytes) else str(call.name)
         log.debug(
             "verdict",
             front=door.label,
-            request=name,
+            request=_shown(call),
             outcome=disposition.name.lower(),
             reason=reason.value,
         )
@@ -445,11 +449,10 @@
         held.owed_to.end(held.call, whole)
 
     def _tell_attempt(self, held: Held, attempt: Attempt, status: Status) -> None:
-        name = held.call.name
         log.debug(
             "attempt",
             front=held.door.label,
-            request=name.decode("latin-1") if isinstance(name, bytes) else str(name),
+            request=_shown(held.call),
             attempt=attempt.number,
             server=attempt.server,
             status=status.name.lower(),
--- a/ochreflow/lab/fault/proxy.py
+++ b/ochreflow/lab/fault/proxy.py
@@ -128,6 +128,12 @@
                 receiver.half_close()
             else:
                 self.close(action.reset)
+        self._end_if_through()
+
+    def _end_if_through(self) -> None:
+        """Let go of both sockets when both ends have said their last and all of it has gone on."""
+        if all(end.ended for end in self.ends.values()) and not any(self.queues.values()):
+            self.close(reset=False)
 
     def _go_on(self, side: Side) -> None:
         self.waiting[side] = None
@@ -162,6 +168,7 @@
         self.side = side
         self.transport: asyncio.Transport | None = None
         self.gone = False
+        self.ended = False  # it has said that nothing more comes
         self.reading = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -176,6 +183,7 @@
             self.pair.came(self.side, self.pair.wire.feed(self.side, data))
 
     def eof_received(self) -> bool:
+        self.ended = True
         if not self.pair.closed:
             self.pair.came(self.side, self.pair.wire.eof(self.side))
         return True  # the other direction may still be in use
--- a/ochreflow/lab/load.py
+++ b/ochreflow/lab/load.py
@@ -32,9 +32,11 @@
 
 
 class Client(asyncio.Protocol):
-    """One connection, one request at a time."""
+    """One connection, one request at a time. What comes beyond one answer to each goes to `stray`."""
 
-    def __init__(self) -> None:
+    def __init__(self, stray: Callable[[str, int], None] = lambda ident, code: None) -> None:
+        self.stray = stray
+        self.ident = ""  # of the request that was asked last
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.done: asyncio.Future[tuple[int, bytes]] | None = None
@@ -52,9 +54,9 @@
     def open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
-    def ask(self, data: bytes, done: asyncio.Future[tuple[int, bytes]]) -> None:
+    def ask(self, data: bytes, done: asyncio.Future[tuple[int, bytes]], ident: str = "") -> None:
         assert self.transport is not None
-        self.done, self.body = done, b""
+        self.done, self.body, self.ident = done, b"", ident
         self.transport.write(data)
 
     def data_received(self, data: bytes) -> None:
@@ -70,7 +72,9 @@
         code, again = self.parser.get_status_code(), self.parser.should_keep_alive()
         if not again:
             self.close()
-        if self.done is not None and not self.done.done():
+        if self.done is None or self.done.done():
+            self.stray(self.ident, code)
+        else:
             self.done.set_result((code, self.body))
 
     def close(self) -> None:
@@ -134,7 +138,7 @@
         self.ledger.note("asked", id=ident, cls=kind.name, deadline=kind.deadline)
         try:
             async with asyncio.timeout(kind.deadline + ANSWER_SLACK):
-                code, body = await self._ask(data)
+                code, body = await self._ask(data, ident)
             outcome = OUTCOMES.get(code, "failed")
         except (OSError, TimeoutError, httptools.HttpParserError):
             code, body, outcome = 0, b"", "lost"
@@ -143,28 +147,33 @@
         more = {"code": code, "body": body.decode("latin-1"), "took": took, "sent": sent}
         self.ledger.note("answered", id=ident, cls=kind.name, outcome=outcome, **more)
 
-    async def _ask(self, data: bytes) -> tuple[int, bytes]:
-        """One exchange. A close that crosses a request which was not read is met with a new connection."""
-        loop = asyncio.get_running_loop()
-        while True:
-            client = self._take_idle()
-            reused = client is not None
-            if client is None:
-                _, client = await loop.create_connection(Client, *self.address)
-            done: asyncio.Future[tuple[int, bytes]] = loop.create_future()
-            client.ask(data, done)
+    async def _ask(self, data: bytes, ident: str) -> tuple[int, bytes]:
+        """One exchange. A close that crosses a request is met once, with a new connection."""
+        client = self._take_idle()
+        if client is not None:
             try:
-                answer = await done
+                return await self._ask_on(client, data, ident)
             except OSError:
-                if reused:
-                    continue
-                raise
-            finally:
-                if not done.done() or done.cancelled():
-                    client.close()
-            if client.open:
-                self.idle.append(client)
-            return answer
+                pass  # it had stood idle: the sidecar may have closed it before it read this
+        loop = asyncio.get_running_loop()
+        _, client = await loop.create_connection(lambda: Client(self._stray), *self.address)
+        return await self._ask_on(client, data, ident)
+
+    async def _ask_on(self, client: Client, data: bytes, ident: str) -> tuple[int, bytes]:
+        done: asyncio.Future[tuple[int, bytes]] = asyncio.get_running_loop().create_future()
+        client.ask(data, done, ident)
+        try:
+            answer = await done
+        finally:
+            if not done.done() or done.cancelled():
+                client.close()
+        if client.open:
+            self.idle.append(client)
+        return answer
+
+    def _stray(self, ident: str, code: int) -> None:
+        """A further answer to a request that has had its own."""
+        self.ledger.note("answered", id=ident, outcome="extra", code=code, body="")
 
     def _take_idle(self) -> Client | None:
         while self.idle:
--- a/tests/test_fault.py
+++ b/tests/test_fault.py
@@ -17,6 +17,7 @@
     WAIT,
     Fake,
     Sidecar,
+    answer_ok,
     ask,
     config,
     entry,
@@ -25,6 +26,7 @@
     read_message,
     run,
     silent,
+    until,
 )
 
 from ochreflow.lab.fault.framing import Framer, Place
@@ -268,6 +270,21 @@
     run(play())
 
 
+def test_it_lets_go_of_connections_that_both_ends_have_ended(tmp_path):
+    async def play():
+        fake = await Fake(answer_ok).start()
+        for faults in ([], [fault("half_close", "request", "end")], [fault("delay", ms=5)]):
+            tool = Tool((HOST, fake.port), faults, 1)
+            server = await asyncio.get_running_loop().create_server(tool.accept, HOST, 0)
+            for number in range(5):
+                got = await ask(server.sockets[0].getsockname()[1], message("order", f"id{number}"))
+                assert got.code == 200
+            await until(lambda tool=tool: not tool.pairs)
+            server.close()
+
+    run(play())
+
+
 def test_it_is_steered_live_and_tells_what_it_did(tmp_path):
     async def play():
         async def act(message, reader, writer):
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -9,11 +9,12 @@
 from pathlib import Path
 
 import pytest
-from net_helpers import HOST, WAIT, ask, read_message, run
+from net_helpers import HOST, WAIT, Fake, ask, read_message, reply, run
 
 from ochreflow.lab.directory import Directory
 from ochreflow.lab.judge import RULES, SECOND, judge
 from ochreflow.lab.ledger import Ledger, read
+from ochreflow.lab.load import Kind, Load
 from ochreflow.lab.node import Node, Traits
 
 ROOT = Path(__file__).parent.parent
@@ -257,6 +258,30 @@
     assert report.by_class["assign"]["asked"] == report.by_class["assign"].total() / 2
 
 
+def test_clients_see_a_second_answer_and_the_judge_convicts_it(tmp_path):
+    async def play():
+        async def twice(message, reader, writer):
+            ident = message.headers["x-request-id"]
+            writer.write(reply(503) + (reply(503) if len(fake.got) == 3 else b""))
+            seen.append(ident)
+
+        seen = []
+        fake = await Fake(twice).start()
+        ledger = Ledger(tmp_path / "clients")
+        load = Load((HOST, fake.port), [Kind("assign", 1.0, "unsafe", 2.0)], 100.0, 5, 1, ledger)
+        await load.run(0.3)
+        ledger.close()
+        return seen
+
+    seen = run(play())
+    for name in ("n", "directory"):
+        (tmp_path / name).write_text("")
+    report = judge([tmp_path / "clients"], {"n": tmp_path / "n"}, tmp_path / "directory", ["assign"])
+    assert len(seen) > 3
+    assert [finding.text.split(":")[0] for finding in report.findings] == [f"request {seen[2]}"]
+    assert "2 answers" in report.findings[0].text
+
+
 def test_a_ledger_that_a_kill_cut_off_is_read_up_to_there(tmp_path):
     path = tmp_path / "l"
     path.write_text('{"what":"a"}\n{"what":"b"}\n{"wha')
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -216,6 +216,20 @@
     assert done.stderr.startswith(f"ochreflow: {tmp_path}/f: a: no such key") and "and 1 more" in done.stderr
 
 
+@pytest.mark.parametrize(("missing", "form"), [("msgspec", "plain"), ("structlog", "json")])
+def test_a_library_that_a_file_needs_and_is_not_there_is_one_line(tmp_path, missing, form):
+    (tmp_path / "c").write_text(json.dumps(config(news(1))))
+    (tmp_path / "f").write_text(f'[log]\nformat = "{form}"\n')
+    code = f"import sys; sys.modules['{missing}'] = None\n"
+    code += f"from ochreflow.app.process import main; sys.exit(main({str(tmp_path / 'f')!r}))"
+    env = {"GW_CONFIG": str(tmp_path / "c"), "PATH": "/usr/bin:/bin"}
+    done = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, env=env, capture_output=True, text=True, timeout=30
+    )
+    assert done.returncode == 1 and done.stderr.count("\n") == 1, done.stderr
+    assert missing in done.stderr and "requirements-cli.txt" in done.stderr
+
+
 def test_one_event_is_bounded_and_what_was_held_back_is_counted():
     now, said = [0.0], []
     log = Log(lambda level, event, fields: said.append((event, fields)), lambda: now[0])
