--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,8 @@
 	.venv/bin/pip install -q --disable-pip-version-check -r requirements.txt -r requirements-cli.txt
 	touch $@
 
-.venv/test: .venv/demo requirements-dev.txt
-	.venv/bin/pip install -q --disable-pip-version-check -r requirements-dev.txt
+.venv/test: .venv/demo requirements-dev.txt requirements-report.txt
+	.venv/bin/pip install -q --disable-pip-version-check -r requirements-report.txt -r requirements-dev.txt
 	touch $@
 
 clean:
--- a/benchmarks/overhead.py
+++ b/benchmarks/overhead.py
@@ -30,8 +30,8 @@
 
 from ochreflow.lab.load import Client  # noqa: E402
 from ochreflow.lab.scenario import read_scenario  # noqa: E402
+from ochreflow.lab.series import percentile  # noqa: E402
 from ochreflow.lab.serving import Asked, Service  # noqa: E402
-from ochreflow.lab.show import percentile  # noqa: E402
 from ochreflow.lab.stage import platform_config  # noqa: E402
 
 HOST = "127.0.0.1"
--- a/benchmarks/stand_ins.py
+++ b/benchmarks/stand_ins.py
@@ -17,9 +17,11 @@
 import uvloop
 from overhead import CORES, HOST, load, node, pin
 
+from ochreflow.lab.arrivals import Kind
 from ochreflow.lab.ledger import Ledger
-from ochreflow.lab.load import Kind, Load
-from ochreflow.lab.node import Node, Traits
+from ochreflow.lab.load import Load
+from ochreflow.lab.model import Traits
+from ochreflow.lab.node import Node
 
 SECONDS = 3.0
 CONNECTIONS = 8
--- a/ochreflow/cli/main.py
+++ b/ochreflow/cli/main.py
@@ -6,11 +6,15 @@
 import json
 import os
 import sys
+from typing import TYPE_CHECKING
 
 import click
 
 from .. import __version__
 
+if TYPE_CHECKING:
+    from ..lab.runs import Player
+
 WITHIN = 2.0  # seconds for a call to a running sidecar: it answers within one
 FAULTY = 2  # exit code for what was asked wrongly
 
@@ -135,13 +139,27 @@
     """Stand-ins and tools that break things on purpose."""
 
 
+def _player(rehearse: bool) -> Player:
+    """What plays a scenario: processes on loopback, or the decision module alone in simulated time."""
+    if rehearse:
+        from ..rehearsal.play import rehearse as play_dry
+
+        return play_dry
+    from ..lab.demo import play
+
+    return play
+
+
 @lab.command(name="run", epilog=_example("ochreflow lab run quiet burst --seeds 3 --out results.jsonl"))
 @click.argument("scenarios", nargs=-1, metavar="SCENARIO...")
 @click.option("--seeds", type=click.IntRange(1, 1000), default=1, show_default=True, help="Runs of each.")
 @click.option("--jobs", type=click.IntRange(1, 64), default=1, show_default=True, help="Runs at a time.")
 @click.option("--seconds", type=click.FloatRange(2, 3600), help="In place of the scenario's own length.")
+@click.option("--rehearse", is_flag=True, help="The decision module alone, in simulated time.")
 @click.option("--out", metavar="FILE", help="A JSON line for each run is added to it.")
-def lab_run(scenarios: tuple[str, ...], seeds: int, jobs: int, seconds: float | None, out: str | None) -> int:
+def lab_run(
+    scenarios: tuple[str, ...], seeds: int, jobs: int, seconds: float | None, rehearse: bool, out: str | None
+) -> int:
     """Play scenarios of the library, or of files that end in .toml, and judge each run."""
     from ..lab.runs import run_all
     from ..lab.scenario import ScenarioError, names
@@ -149,11 +167,52 @@
     if not scenarios:
         raise click.UsageError(f"name a scenario: {', '.join(names())}")
     try:
-        return run_all(list(scenarios), seeds, jobs, seconds, out)
+        return run_all(_player(rehearse), list(scenarios), seeds, jobs, seconds, out)
     except ScenarioError as error:
         raise click.UsageError(str(error)) from None
 
 
+@lab.command(name="compare", epilog=_example("ochreflow lab compare HEAD~1 . -s burst --seeds 8 --rehearse"))
+@click.argument("a")
+@click.argument("b")
+@click.option("-s", "--scenario", "scenarios", multiple=True, help="Of the library, or a file; else all.")
+@click.option("--seeds", type=click.IntRange(1, 1000), default=8, show_default=True, help="Runs of each.")
+@click.option("--jobs", type=click.IntRange(1, 64), default=1, show_default=True, help="Runs at a time.")
+@click.option("--seconds", type=click.FloatRange(2, 3600), help="In place of the scenario's own length.")
+@click.option("--rehearse", is_flag=True, help="The decision module alone, in simulated time.")
+@click.option("--out", metavar="FILE", help="A JSON line for each run is added to it.")
+@click.option("--html", metavar="FILE", help="Write a report with plots there.")
+def lab_compare(
+    a: str,
+    b: str,
+    scenarios: tuple[str, ...],
+    seeds: int,
+    jobs: int,
+    seconds: float | None,
+    rehearse: bool,
+    out: str | None,
+    html: str | None,
+) -> int:
+    """Play builds A and B on the same scenarios and seeds, and tell whether B is better.
+
+    A build is "." (this checkout), a git revision, or either with constants changed, such as
+    ".,policy/logic.py:STRIKES=3.0".
+    """
+    try:
+        from ..lab.compare import compare
+    except ImportError as error:
+        text = f"{error.name} is missing: install requirements-report.txt"
+        raise click.ClickException(text) from None
+    from ..lab.builds import BuildError
+    from ..lab.scenario import ScenarioError, names
+
+    chosen = list(scenarios) or names()
+    try:
+        return compare(_player(rehearse), (a, b), chosen, seeds, jobs, seconds, out, html)
+    except (ScenarioError, BuildError) as error:
+        raise click.UsageError(str(error)) from None
+
+
 @lab.command(epilog=_example("ochreflow lab fault --to 127.0.0.1:7070 --script faults.toml --seed 7"))
 @click.option("--to", "target", metavar="ADDRESS", required=True, help="Where traffic goes on.")
 @click.option("--listen", metavar="ADDRESS", default="127.0.0.1:0", show_default=True)
--- /dev/null
+++ b/ochreflow/lab/builds.py
@@ -0,0 +1,58 @@
+"""Builds of the program to compare: a git revision, with settings changed in it.
+
+.                                   the checkout as it is
+HEAD~3                              a revision, in a folder of its own
+.,policy/logic.py:STRIKES=1e9       one whose constant has another value
+"""
+
+from __future__ import annotations
+
+import re
+import shutil
+import subprocess
+from pathlib import Path
+
+PACKAGE = "ochreflow"
+HERE = Path(__file__).resolve().parents[1]
+CHANGE = re.compile(r"([\w/]+\.py):([A-Z_0-9]+)=(.+)")
+
+
+class BuildError(Exception):
+    """A build that can't be had; the text says why in one line."""
+
+
+def make(said: str, folder: Path) -> Path:
+    """Put a build's package into `folder`; the folder."""
+    revision, *changes = said.split(",")
+    folder.mkdir(parents=True)
+    if revision == ".":
+        shutil.copytree(HERE, folder / PACKAGE, ignore=shutil.ignore_patterns("__pycache__"))
+    else:
+        _export(revision, folder)
+    for change in changes:
+        _change(folder / PACKAGE, change)
+    return folder
+
+
+def _export(revision: str, folder: Path) -> None:
+    archive = subprocess.run(
+        ["git", "archive", "--format=tar", revision, PACKAGE], cwd=HERE.parent, capture_output=True
+    )
+    if archive.returncode:
+        raise BuildError(f"{revision}: {archive.stderr.decode().strip().splitlines()[-1]}")
+    subprocess.run(["tar", "-x", "-C", str(folder)], input=archive.stdout, check=True)
+
+
+def _change(package: Path, change: str) -> None:
+    """Give a constant of a module another value."""
+    match = CHANGE.fullmatch(change)
+    if match is None:
+        raise BuildError(f"{change}: wanted FILE:NAME=VALUE, such as policy/logic.py:STRIKES=3.0")
+    name, constant, value = match.groups()
+    path = package / name
+    if not path.exists():
+        raise BuildError(f"{change}: there is no {name}")
+    text, count = re.subn(rf"(?m)^{constant} = .*$", f"{constant} = {value}", path.read_text())
+    if count != 1:
+        raise BuildError(f"{change}: {name} has no constant {constant}")
+    path.write_text(text)
--- a/ochreflow/lab/demo.py
+++ b/ochreflow/lab/demo.py
@@ -1,4 +1,4 @@
-"""The demo: a directory, six nodes, a sidecar and a load, all as processes on loopback, with troubles."""
+"""Plays a scenario with processes on loopback; the demo is one of them."""
 
 from __future__ import annotations
 
@@ -14,12 +14,14 @@
 from .stage import Played, Stage
 
 
-def play(scenario: Scenario, seed: int, keep: str | None, show: bool = True) -> Played:
-    """Play a scenario; its logs and ledgers stay in `keep`, or nowhere."""
+def play(
+    scenario: Scenario, seed: int, program: Path | None = None, keep: str | None = None, show: bool = False
+) -> Played:
+    """Play it with a build of the program; its logs and ledgers stay in `keep`, or nowhere."""
     folder = Path(keep or tempfile.mkdtemp(prefix="ochreflow-lab-"))
     folder.mkdir(parents=True, exist_ok=True)
     try:
-        stage = Stage(scenario, folder, seed)
+        stage = Stage(scenario, folder, seed, program)
         return uvloop.run(stage.run(progress) if show else stage.run())
     finally:
         if keep is None:
@@ -29,6 +31,6 @@
 def main(seconds: float, seed: int, keep: str | None) -> int:
     """Play the demo; 0 if every rule held, 1 if one was broken, 3 if the machine was too slow to tell."""
     scenario = msgspec.structs.replace(read_scenario("demo"), seconds=seconds)
-    played = play(scenario, seed, keep)
+    played = play(scenario, seed, keep=keep, show=True)
     print(told(played))
     return played.verdict
--- a/ochreflow/lab/directory.py
+++ b/ochreflow/lab/directory.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import json
+import random
+from collections import deque
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -25,12 +27,32 @@
     timer: asyncio.TimerHandle
 
 
+@dataclass(slots=True)
+class Manners:
+    """How a directory treats those that call. Times in seconds."""
+
+    per_second: float = 0.0  # calls served in a second, in turn; 0: all at once
+    room: int = 32  # calls that may wait for their turn; one beyond gets a 503
+    resets: float = 0.0  # the share of calls that end in a reset instead
+    late: float = 0.0  # after which watches are told of a change
+    keeps: int = 0  # changes remembered; a watch on an older index gets the whole list; 0: all
+
+
 class Directory:
     """Owns the list: entries by name, each with the index of its latest change."""
 
-    def __init__(self, ledger: Ledger, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        ledger: Ledger,
+        loop: asyncio.AbstractEventLoop,
+        manners: Manners | None = None,
+        seed: int = 0,
+    ) -> None:
         self.ledger = ledger
         self.loop = loop
+        self.manners = manners or Manners()
+        self.random = random.Random(seed)
+        self.turns: deque[Asked] = deque()  # calls that wait to be served
         self.index = 0
         self.entries: dict[str, tuple[int, dict[str, Any]]] = {}
         self.watches: dict[Waiting, None] = {}
@@ -42,8 +64,15 @@
         self.index += 1
         self.entries[entry["name"]] = (self.index, entry)
         self.ledger.note("changed", name=entry["name"], status=entry["status"], index=self.index)
+        if self.manners.late:
+            self.loop.call_later(self.manners.late, self._tell_all)
+        else:
+            self._tell_all()
+
+    def _tell_all(self) -> None:
         for watch in list(self.watches):
-            self._tell_changes(watch)
+            if watch.after < self.index:
+                self._tell_changes(watch)
 
     def serve(self, asked: Asked) -> None:
         parts = urlsplit(asked.target)
@@ -54,7 +83,25 @@
                 asked.answer(400, str(error).encode())
                 return
             asked.answer(200)
-        elif self.down:
+        elif self.down or len(self.turns) > self.manners.room:
+            asked.answer(503)
+        elif self.random.random() < self.manners.resets:
+            asked.connection.cut()
+        elif self.manners.per_second:
+            self.turns.append(asked)
+            if len(self.turns) == 1:
+                self.loop.call_later(1.0 / self.manners.per_second, self._next_turn)
+        else:
+            self._serve(asked)
+
+    def _next_turn(self) -> None:
+        self._serve(self.turns.popleft())
+        if self.turns:
+            self.loop.call_later(1.0 / self.manners.per_second, self._next_turn)
+
+    def _serve(self, asked: Asked) -> None:
+        parts = urlsplit(asked.target)
+        if self.down:
             asked.answer(503)
         elif parts.path != TARGETS:
             asked.answer(404)
@@ -64,7 +111,9 @@
             self._answer(asked, True, [entry for _, entry in self.entries.values()])
 
     def _order(self, order: dict[str, Any]) -> None:
-        if "down" in order:
+        if "manners" in order:
+            self.manners = Manners(**order["manners"])
+        elif "down" in order:
             self.down = bool(order["down"])
             self.ledger.note("down" if self.down else "up")
             for watch in list(self.watches):
@@ -80,7 +129,8 @@
         return {**known[1], **change} if known is not None else change
 
     def _watch(self, asked: Asked, after: int, wait_ms: int) -> None:
-        if after > self.index:  # of an index that this directory never had: the whole list tells all
+        forgot = 0 < self.manners.keeps < self.index - after
+        if after > self.index or forgot:  # of an index that this directory does not know: the whole list
             self._answer(asked, True, [entry for _, entry in self.entries.values()])
             return
         timer = self.loop.call_later(min(wait_ms, WAIT_MOST) / 1000, self._expire, asked)
@@ -105,4 +155,5 @@
             entries = [entry for entry in entries if entry["status"] != "DELETED"]
         body = {"index": self.index, "snapshot": snapshot, "endpoints": entries}
         if asked.answer(200, json.dumps(body).encode(), "Content-Type: application/json"):
-            self.ledger.note("told", entries={entry["name"]: entry["status"] for entry in entries})
+            told = {entry["name"]: entry["status"] for entry in entries}
+            self.ledger.note("told", entries=told, whole=snapshot)
--- a/ochreflow/lab/ledger.py
+++ b/ochreflow/lab/ledger.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from time import time_ns
 from typing import Any
 
+Event = dict[str, Any]
+
 
 class Ledger:
     """Written line by line, so that a kill cuts off no more than the last one."""
@@ -26,7 +28,18 @@
             self.file.close()
 
 
-def read(path: Path) -> Iterator[dict[str, Any]]:
+class Memory:
+    """A ledger that is kept in memory, on the clock it is given (nanoseconds)."""
+
+    def __init__(self, now: Callable[[], int]) -> None:
+        self.now = now
+        self.events: list[Event] = []
+
+    def note(self, what: str, **fields: object) -> None:
+        self.events.append({"what": what, "at": self.now(), **fields})
+
+
+def read(path: Path) -> Iterator[Event]:
     """The events of a ledger. A last line that a kill cut off is left out; any other is a ValueError."""
     lines = path.read_bytes().split(b"\n")
     for number, line in enumerate(lines, 1):
--- /dev/null
+++ b/ochreflow/lab/report.py
@@ -0,0 +1,102 @@
+"""One HTML file of a comparison, with its plots inside: nothing else is needed to read it."""
+
+from __future__ import annotations
+
+import base64
+import html
+import io
+from pathlib import Path
+from typing import Any
+
+import matplotlib
+
+matplotlib.use("Agg")  # no window: files only
+from matplotlib import pyplot
+
+from .differences import Difference
+from .series import OUTCOMES
+
+COLOURS = {
+    "served": "#4c9f70",
+    "refused": "#e0a030",
+    "failed": "#c0504d",
+    "lost": "#404040",
+    "left": "#8888cc",
+}
+STYLE = (
+    "body{font:15px sans-serif;margin:2em;max-width:1200px} table{border-collapse:collapse} "
+    "td,th{padding:.2em .8em;border-bottom:1px solid #ccc;text-align:right} "
+    "td:first-child,td:nth-child(2){text-align:left} "
+    ".better{color:#2a7a4a} .worse{color:#b03030} img{width:100%}"
+)
+
+
+def write(path: Path, labels: tuple[str, str], found: list[dict[str, Any]], shown: list[Difference]) -> None:
+    """Write the table of differences, and for each scenario the lowest seed's run of both builds."""
+    parts = [
+        f"<!doctype html><meta charset=utf-8><title>Comparison</title><style>{STYLE}</style>",
+        f"<h1>{html.escape(labels[0])} (A) and {html.escape(labels[1])} (B)</h1>",
+        _table(shown),
+    ]
+    for scenario in sorted({result["scenario"] for result in found}):
+        runs = [result for result in found if result["scenario"] == scenario]
+        seed = min(result["seed"] for result in runs)
+        parts.append(f"<h2>{html.escape(scenario)}, seed {seed}</h2>")
+        for label in labels:
+            for result in runs:
+                if result["seed"] == seed and result["build"] == label:
+                    parts.append(f"<h3>{html.escape(label)}: worth {result['worth']:.3f}</h3>")
+                    parts.append(f'<img alt="run" src="data:image/png;base64,{plot(result["series"])}">')
+    path.write_text("\n".join(parts), encoding="utf-8")
+
+
+def _table(shown: list[Difference]) -> str:
+    head = "<tr><th>scenario<th>measure<th>pairs<th>A<th>B<th>B - A, 95 %<th>verdict"
+    rows = [
+        f"<tr><td>{html.escape(one.scenario)}<td>{one.measure}<td>{one.pairs}<td>{one.before:.4f}"
+        f"<td>{one.after:.4f}<td>{one.low:+.4f} to {one.high:+.4f}<td class={one.verdict}>{one.verdict}"
+        for one in shown
+    ]
+    return f"<table>{head}{''.join(rows)}</table>"
+
+
+def plot(run: dict[str, Any]) -> str:
+    """One run as a picture (PNG, base64): outcomes, latency and work in hand, the troubles marked behind."""
+    step = run["step"]
+    times = [step * (number + 0.5) for number in range(len(run["asked"]))]
+    figure, (outcomes, latency, hand) = pyplot.subplots(3, 1, figsize=(11, 8), sharex=True)
+    outcomes.stackplot(
+        times,
+        *([count / step for count in run["outcomes"][name]] for name in OUTCOMES),
+        labels=OUTCOMES,
+        colors=[COLOURS[name] for name in OUTCOMES],
+        step="mid",
+    )
+    outcomes.step(times, [count / step for count in run["asked"]], "k:", where="mid", label="asked")
+    outcomes.set_ylabel("requests/s")
+    for name, values in run["latency"].items():
+        latency.plot(times, [value * 1000 for value in values], label=name)
+    latency.set_ylabel("latency, ms")
+    for name, values in sorted(run["in_hand"].items()):
+        hand.plot(times, values, label=name, linewidth=1)
+    for at, name in run["ejected"]:
+        hand.axvline(at, color="#c0504d", linewidth=0.8)
+        hand.annotate(f"{name} ejected", (at, hand.get_ylim()[1]), fontsize=6, rotation=90, va="top")
+    hand.set_ylabel("in hand")
+    hand.set_xlabel("s")
+    _shade(figure.axes, run["steps"], times[-1] + step / 2)
+    for axes in figure.axes:
+        axes.legend(loc="upper left", fontsize=7, ncols=4)
+    target = io.BytesIO()
+    figure.savefig(target, format="png", dpi=90, bbox_inches="tight")
+    pyplot.close(figure)
+    return base64.b64encode(target.getvalue()).decode()
+
+
+def _shade(all_axes: list[Any], steps: list[Any], end: float) -> None:
+    """Shade the time from each step to the next, and say on top which it was."""
+    edges = [at for at, _ in steps] + [end]
+    for number, (at, said) in enumerate(steps):
+        for axes in all_axes:
+            axes.axvspan(at, edges[number + 1], color="#888888", alpha=0.08 + 0.08 * (number % 2), lw=0)
+        all_axes[0].annotate(said, (at, 1.02), xycoords=("data", "axes fraction"), fontsize=7, rotation=20)
--- a/ochreflow/lab/scenario.py
+++ b/ochreflow/lab/scenario.py
@@ -4,10 +4,12 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 import msgspec
 
+from . import arrivals
+
 LIBRARY = Path(__file__).parent / "scenarios"
 Part = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 Positive = Annotated[float, msgspec.Meta(gt=0.0)]
@@ -30,8 +32,16 @@
     nodes: Annotated[int, msgspec.Meta(ge=1, le=64)] = 6
     cores: Annotated[int, msgspec.Meta(ge=1)] = 2
     room: Annotated[int, msgspec.Meta(ge=0)] = 16
+    slots: Annotated[int, msgspec.Meta(ge=0)] = 0  # worked on at once; 0: one for each core
+    crowding: Annotated[float, msgspec.Meta(ge=0.0, le=0.95)] = 0.0  # speed lost with a full waiting room
     start_capacity: Part = 0.15
     warm_within: Positive = 8.0  # seconds
+    warm_work: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0  # ... or these seconds of work done; 0: time
+    remembers: Annotated[float, msgspec.Meta(ge=0.0)] = 5.0  # seconds for which a key is known
+    keys: Annotated[int, msgspec.Meta(ge=1)] = 64  # known at the most
+    connections: Annotated[int, msgspec.Meta(ge=0)] = 0  # at the most; 0: any number
+    pod: Annotated[int, msgspec.Meta(ge=1)] = 1  # nodes that drop each other's repeats
+    near: Annotated[int, msgspec.Meta(ge=0)] = 0  # nodes in the sidecars' own zone; 0: every second one
 
 
 class Burst(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -49,6 +59,22 @@
     keys: Annotated[int, msgspec.Meta(ge=1)] = 800
     wave: Part = 0.0  # the part by which the rate swings, once over the run
     bursts: tuple[Burst, ...] = ()
+    leaving: Part = 0.0  # the share of clients that leave before their answer
+    slow: Part = 0.0  # ... that write in pieces and read late
+    long: Part = 0.0  # ... that bring a body of `long_bytes`
+    long_bytes: Annotated[int, msgspec.Meta(ge=1)] = 200_000
+    hinted: Part = 0.0  # ... that tell what the work will cost
+    tries: Annotated[int, msgspec.Meta(ge=1, le=8)] = 1  # of a client in all, as soon as a refusal allows
+
+
+class Directory(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """How the directory treats those that call."""
+
+    per_second: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0  # calls served, in turn; 0: all at once
+    room: Annotated[int, msgspec.Meta(ge=0)] = 32  # calls that may wait; one beyond gets a 503
+    resets: Part = 0.0  # the share of calls that end in a reset
+    late: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0  # seconds until watches are told of a change
+    keeps: Annotated[int, msgspec.Meta(ge=0)] = 0  # changes remembered; 0: all
 
 
 class Step(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -59,20 +85,28 @@
         "swallow",  # takes requests, answers none
         "fail",  # the share `much` fails at once
         "slow",  # work takes `much` times as long
+        "spoil",  # the share `much` of answers comes in another `form`
         "well",  # all of these end
         "drain",
         "serve",  # the drain ends
         "gone",  # killed, and the directory says so
         "vanish",  # killed, and the directory never says so
+        "delist",  # the directory says that it is gone, and it lives on
         "come",  # a new node starts cold
+        "replace",  # killed, and another (`by`) starts cold at its address
         "restart",  # killed, and started cold under the same name
         "directory_down",
         "directory_up",
+        "directory_restart",  # killed, and started again with an index begun anew
+        "directory_move",  # another one, at another address; sidecars get SIGHUP
+        "upgrade_sidecar",  # the new one starts beside the old one on its socket, then the old one ends
         "kill_sidecar",  # without a warning, and started again
         "end_sidecar",  # SIGTERM, and started again
     ]
     nodes: tuple[int, ...] = ()
     much: float = 1.0
+    by: tuple[int, ...] = ()
+    form: Literal["extra", "interim", "cut", "garbled", "stalled"] = "extra"
 
 
 class Scenario(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -84,6 +118,7 @@
     sidecars: Annotated[int, msgspec.Meta(ge=1, le=16)] = 1
     fleet: Fleet = Fleet()
     load: Load = Load()
+    directory: Directory = Directory()
     steps: tuple[Step, ...] = ()
 
 
@@ -110,14 +145,49 @@
     """What single values can't tell: that steps speak of nodes that are there."""
     known = set(range(1, scenario.fleet.nodes + 1))
     for number, step in enumerate(sorted(scenario.steps, key=lambda step: step.at)):
+        if step.do == "replace" and len(step.by) != len(step.nodes):
+            raise ScenarioError(f"{path}: steps[{number}]: replace wants a node in `by` for each in `nodes`")
         if step.do == "come":
             known |= set(step.nodes)
+        elif step.do == "replace":
+            known = known - set(step.nodes) | set(step.by)
         elif unknown := set(step.nodes) - known:
             missing = ", ".join(map(str, sorted(unknown)))
             raise ScenarioError(f"{path}: steps[{number}]: {step.do} of nodes that are not there: {missing}")
     return scenario
 
 
+def times(scenario: Scenario, passed: float) -> float:
+    """The factor on the load at a time of the run, in seconds."""
+    part = passed / scenario.seconds
+    load = scenario.load
+    wave = 1.0 + load.wave * (2.0 * abs(2.0 * (part % 1.0) - 1.0) - 1.0)
+    for burst in load.bursts:
+        if burst.at <= part < burst.until:
+            wave *= burst.times
+    return wave
+
+
+def arriving(scenario: Scenario) -> tuple[list[arrivals.Kind], arrivals.Habits]:
+    """The classes and habits of its clients."""
+    kinds = [
+        arrivals.Kind(name, kind.share, kind.repeat, kind.deadline, kind.work)
+        for name, kind in scenario.kinds.items()
+    ]
+    load = scenario.load
+    habits = arrivals.Habits(load.leaving, load.slow, load.long, load.long_bytes, load.hinted, load.tries)
+    return kinds, habits
+
+
+def node_traits(scenario: Scenario, name: str, cold: bool) -> dict[str, Any]:
+    """What a node of its fleet is like, as the model takes it."""
+    given = msgspec.structs.asdict(scenario.fleet)
+    for other in ("nodes", "pod", "near"):
+        del given[other]
+    work = {kind: made.work for kind, made in scenario.kinds.items()}
+    return {**given, "name": name, "work": work, "warm_within": given["warm_within"] if cold else 0.0}
+
+
 def names() -> list[str]:
     """The library."""
     return sorted(path.stem for path in LIBRARY.glob("*.toml"))
--- a/ochreflow/lab/serving.py
+++ b/ochreflow/lab/serving.py
@@ -46,6 +46,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.waiting: deque[Asked] = deque()
         self.busy = False
+        self.unwelcome = False  # there are too many
         self._begin()
 
     def _begin(self) -> None:
@@ -55,6 +56,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        if self.unwelcome:
+            self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
@@ -98,6 +101,27 @@
         self._next()
         return True
 
+    def spoil(self, form: str, code: int, body: bytes) -> None:
+        """Write an answer in a form that no good server uses; the connection is of no further use."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        length = b"Content-Length: %d\r\n\r\n" % len(body)
+        line = f"HTTP/1.1 {code} {REASONS.get(code, 'Service Unavailable')}\r\n".encode()
+        if form == "interim":  # a 1xx in front, which is no answer
+            self.transport.write(b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")
+            self.answer(code, body, ())
+        elif form == "extra":  # bytes behind the answer, which belong to nothing
+            self.transport.write(line + length + body + b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n!")
+            self.busy = False
+            self._next()
+        elif form == "cut":  # the head, and half of the body
+            self.transport.write(line + length + body[: len(body) // 2])
+            self.transport.close()
+        elif form == "stalled":  # the same, and silence
+            self.transport.write(line + length + body[: len(body) // 2])
+        else:  # garbled
+            self.transport.write(b"HTP/1.1 2O0 \x00K\r\n" + length + body)
+
     def cut(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -106,17 +130,29 @@
 class Service:
     """All connections of a stand-in that listens."""
 
-    def __init__(self, serve: Callable[[Asked], None]) -> None:
+    def __init__(
+        self,
+        serve: Callable[[Asked], None],
+        left: Callable[[Connection], None] = lambda connection: None,
+        most: int = 0,
+    ) -> None:
         self.serve = serve
+        self.left = left
+        self.most = most  # connections; one beyond is ended as soon as it comes; 0: any number
         self.connections: set[Connection] = set()
         self.number = 0
 
     def connection(self) -> Connection:
         self.number += 1
-        made = Connection(self.number, self.serve, self.connections.discard)
+        made = Connection(self.number, self.serve, self._lost)
+        made.unwelcome = 0 < self.most <= len(self.connections)
         self.connections.add(made)
         return made
 
+    def _lost(self, connection: Connection) -> None:
+        self.connections.discard(connection)
+        self.left(connection)
+
     def cut_all(self) -> None:
         """End every connection, as a process that dies does."""
         for connection in list(self.connections):
--- a/ochreflow/lab/show.py
+++ b/ochreflow/lab/show.py
@@ -6,6 +6,7 @@
 from collections import Counter
 
 from .judge import RULES, Report
+from .latency import Latency
 from .stage import Played, Stage
 
 
@@ -32,20 +33,14 @@
     return text
 
 
-def percentile(values: list[float], part: float) -> float:
-    """The value that so large a part of all stay under; 0 of none."""
-    ordered = sorted(values)
-    return ordered[min(int(len(ordered) * part), len(ordered) - 1)] if ordered else 0.0
-
-
 def table(report: Report) -> str:
     lines = ["class       asked  served  refused  failed    p50 ms   p99 ms  attempts/request"]
     for name, counts in sorted(report.by_class.items()):
-        took = report.latency.get(name, [])
+        took = report.latency.get(name, Latency())
         lines.append(
             f"{name:<10} {counts['asked']:>6} {counts['served']:>7} {counts['refused']:>8} "
-            f"{counts['failed'] + counts['lost']:>7} {percentile(took, 0.5) * 1000:>9.0f} "
-            f"{percentile(took, 0.99) * 1000:>8.0f} {report.attempts[name] / counts['asked']:>17.3f}"
+            f"{counts['failed'] + counts['lost']:>7} {took.percentile(0.5) * 1000:>9.0f} "
+            f"{took.percentile(0.99) * 1000:>8.0f} {report.attempts[name] / counts['asked']:>17.3f}"
         )
     lines += ["", "node        taken     ran  failed  turned away  repeats dropped"]
     for name, counts in sorted(report.by_node.items()):
--- a/ochreflow/lab/stage.py
+++ b/ochreflow/lab/stage.py
@@ -7,17 +7,26 @@
 import http.client
 import json
 import os
+import re
+import resource
+import shutil
 import signal
+import socket
 import sys
+import tempfile
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from time import time
 
+import msgspec
+
 from .judge import Report, judge
-from .ledger import Ledger
-from .load import Kind, Load
-from .scenario import Scenario, Step
+from .ledger import Ledger, read
+from .load import Load
+from .scenario import Scenario, Step, arriving, node_traits, times
+from .series import Series, series
 
 HOST = "127.0.0.1"
 MS = 1_000_000
@@ -25,6 +34,8 @@
 END_WITHIN = 10.0  # ... and to end
 LAG_MOST = 0.25  # seconds by which a send may be late; beyond it the clients were the bottleneck
 REPEATS = {"keyed": "token", "unsafe": "side_effect", "safe": "pure"}
+MEANS = {"memory_mb": 192, "sockets": 1024}  # of one sidecar
+LOOK_EVERY = 0.25  # seconds between looks at what sidecars use
 CELLS = {"zones": ["amman", "aqaba"], "kind": "gen3"}
 
 
@@ -35,6 +46,8 @@
     report: Report
     lag: float  # seconds, the longest by which a client's send was late
     crashed: list[str] = field(default_factory=list)  # processes that ended by themselves
+    series: Series | None = None
+    digest: str = ""  # of all that was written down, where the same seed gives the same bytes
 
     @property
     def void(self) -> bool:
@@ -58,7 +71,7 @@
         "management": f"{HOST}:0",
         "discovery": directory,
         "seed": f"{number + 0xA11:x}",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "limits": {"cores": 1.0, **MEANS},
         "known": {"index": 0, "snapshot": True, "endpoints": listed},
         "settings": {
             "accounts": [],
@@ -104,6 +117,46 @@
     }
 
 
+KNOWN = re.compile(r"(\S+) is server (\d+) at ")
+EJECTED = re.compile(r"ejected (\d+) after")
+TROUBLES: dict[str, Callable[[Step], dict]] = {  # what a node is told of each
+    "swallow": lambda step: {"swallow": True},
+    "fail": lambda step: {"fail": step.much},
+    "slow": lambda step: {"slow": step.much},
+    "spoil": lambda step: {"spoil": step.much, "form": step.form},
+    "well": lambda step: {"swallow": False, "fail": 0.0, "slow": 1.0, "spoil": 0.0},
+}
+STATUSES = {"drain": "DRAINING", "serve": "SERVING", "delist": "DELETED"}
+
+
+def entry(scenario: Scenario, number: int, address: str, since_ms: int) -> dict:
+    """A node as the directory lists it. Those that come later have a pod of their own."""
+    fleet = scenario.fleet
+    far = number > fleet.near if fleet.near else number % 2 == 0
+    return {
+        "name": f"node-{number}",
+        "address": address,
+        "zone": CELLS["zones"][far],
+        "type": CELLS["kind"],
+        "group": 1 + (number - 1) // fleet.pod if number <= fleet.nodes else 1000 + number,
+        "status": "SERVING",
+        "weight": 1.0,
+        "since_ms": since_ms,
+    }
+
+
+def usage(pid: int) -> dict[str, float]:
+    """What a process holds: resident memory and descriptors; nothing of one that has just ended."""
+    try:
+        pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+        return {
+            "memory_mb": round(pages * resource.getpagesize() / 1_000_000, 1),
+            "sockets": len(os.listdir(f"/proc/{pid}/fd")),
+        }
+    except (OSError, IndexError):
+        return {}
+
+
 class Stage:
     """Owns the processes of one run. `program` is the folder that the sidecar's package is taken from."""
 
@@ -114,7 +167,14 @@
         self.program = program
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.addresses: dict[str, str] = {}
-        self.listed: list[dict] = []
+        self.houses: dict[str, str] = {}  # stand-ins that live, by the process they are in
+        self.listed: list[dict] = []  # from the begin
+        self.entries: dict[str, dict] = {}  # as the directory has them
+        self.overlapping = any(step.do == "upgrade_sidecar" for step in scenario.steps)
+        self.read_to: dict[str, int] = {}  # bytes of each sidecar's log
+        self.numbers: dict[tuple[str, str], str] = {}  # the node that a sidecar knows by a number
+        self.sockets: dict[int, socket.socket] = {}  # that sidecars listen on, where one may take over
+        self.shared = tempfile.mkdtemp(prefix="lab-") if self.overlapping else ""
         self.loads: list[Load] = []
         self.said = "all is well"
         self.ledger = Ledger(folder / "stage.jsonl")
@@ -124,6 +184,7 @@
     # Processes
 
     async def start(self, name: str, *command: str, **environment: str) -> asyncio.subprocess.Process:
+        self.read_to.pop(name, None)
         with (self.folder / f"{name}.log").open("wb") as log:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -132,54 +193,80 @@
                 stderr=log,
                 cwd=self.program if name.startswith("sidecar") else None,
                 env={**os.environ, **environment},
+                pass_fds=[listening.fileno() for listening in self.sockets.values()],
             )
         self.processes[name] = process
         return process
 
-    async def stand_in(self, name: str, kind: str, options: dict) -> str:
-        """Start a stand-in; its address."""
-        path = str(self.folder / f"{name}.jsonl")
-        process = await self.start(name, "-m", "ochreflow.lab.stand_in", kind, path, json.dumps(options))
+    async def stand_ins(self, kind: str, wanted: list[dict]) -> list[str]:
+        """Start stand-ins in one process; their addresses."""
+        name = wanted[0]["name"]
+        command = ("-m", "ochreflow.lab.stand_in", kind, str(self.folder), json.dumps(wanted))
+        process = await self.start(name, *command)
+        self.expected.discard(name)
         assert process.stdout is not None
-        line = await asyncio.wait_for(process.stdout.readline(), START_WITHIN)
-        if not line:
-            raise RuntimeError(f"{name} did not start: see {self.folder / name}.log")
-        return line.decode().strip()
+        found = []
+        for one in wanted:
+            self.houses[one["name"]] = name
+            line = await asyncio.wait_for(process.stdout.readline(), START_WITHIN)
+            if not line:
+                raise RuntimeError(f"{one['name']} did not start: see {self.folder / name}.log")
+            self.addresses[one["name"]] = line.decode().strip()
+            found.append(self.addresses[one["name"]])
+        return found
 
-    async def node(self, number: int, cold: bool) -> dict:
-        """Start a node; its entry for the directory."""
-        name = f"node-{number}"
+    def node_options(self, number: int, cold: bool, port: int = 0) -> dict:
+        seed = self.seed * 1000 + number
+        return {**node_traits(self.scenario, f"node-{number}", cold), "seed": seed, "port": port}
+
+    async def node(self, number: int, address: str = "") -> dict:
+        """Start a cold node, at an address that was used before if one is given; its entry."""
+        port = int(address.rpartition(":")[2]) if address else 0
+        await self.stand_ins("nodes", [self.node_options(number, True, port)])
+        return self.entry(number, int(time() * 1000))
+
+    def entry(self, number: int, since_ms: int) -> dict:
+        """A node as the directory lists it."""
+        return entry(self.scenario, number, self.addresses[f"node-{number}"], since_ms)
+
+    async def fleet(self) -> list[dict]:
+        """Start the nodes that are there from the begin, each pod in a process."""
         fleet = self.scenario.fleet
-        options = {
-            "name": name,
-            "cores": fleet.cores,
-            "room": fleet.room,
-            "work": {name: kind.work for name, kind in self.scenario.kinds.items()},
-            "start_capacity": fleet.start_capacity,
-            "warm_within": fleet.warm_within if cold else 0.0,
-            "seed": self.seed * 1000 + number,
-        }
-        self.addresses[name] = await self.stand_in(name, "node", options)
-        self.expected.discard(name)
-        return {
-            "name": name,
-            "address": self.addresses[name],
-            "zone": CELLS["zones"][(number + 1) % 2],
-            "type": CELLS["kind"],
-            "group": number,
-            "status": "SERVING",
-            "weight": 1.0,
-            "since_ms": int(time() * 1000) if cold else 0,
-        }
+        numbers = range(1, fleet.nodes + 1)
+        pods = [numbers[at : at + fleet.pod] for at in range(0, fleet.nodes, fleet.pod)]
+        made = ([self.node_options(number, False) for number in pod] for pod in pods)
+        await asyncio.gather(*(self.stand_ins("nodes", options) for options in made))
+        return [self.entry(number, 0) for number in numbers]
+
+    async def directory(self, address: str = "") -> None:
+        """Start a directory with the list as it is, at an address that was used before if one is given."""
+        port = int(address.rpartition(":")[2]) if address else 0
+        manners = msgspec.structs.asdict(self.scenario.directory)
+        number = sum(name.startswith("directory") for name in self.houses) + 1
+        wanted = {"name": f"directory-{number}", "manners": manners, "seed": self.seed, "port": port}
+        self.addresses["directory"] = (await self.stand_ins("directory", [wanted]))[0]
+        for one in self.entries.values():
+            if one["status"] != "DELETED":
+                await self.order(self.addresses["directory"], one)
+
+    async def list(self, change: dict) -> None:
+        """Tell the directory of a change."""
+        name = change["name"]
+        self.entries[name] = {**self.entries.get(name, {}), **change}
+        await self.order(self.addresses["directory"], change)
 
     async def sidecar(self, number: int) -> str:
         """Start a sidecar; the address where clients connect, the same after a restart."""
         name = f"sidecar-{number}"
         path = self.folder / f"{name}.json"
         listen = self.addresses.get(name, f"{HOST}:0")
-        given = platform_config(self.scenario, number, listen, self.addresses["directory"], self.listed)
-        path.write_text(json.dumps(given))
-        process = await self.start(name, "-m", "ochreflow", GW_CONFIG=str(path))
+        self.configure(number, listen)
+        more = {}
+        if self.overlapping:
+            listening = self.sockets.get(number) or socket.create_server((HOST, 0), backlog=512)
+            self.sockets[number] = listening
+            more = {"GW_FD": str(listening.fileno()), "TMPDIR": self.shared}
+        process = await self.start(name, "-m", "ochreflow", GW_CONFIG=str(path), **more)
         log = self.folder / f"{name}.log"
         async with asyncio.timeout(START_WITHIN):
             while " listens at " not in log.read_text():
@@ -191,6 +278,33 @@
         self.ledger.note("started", name=name)
         return self.addresses[name]
 
+    def configure(self, number: int, listen: str) -> None:
+        """Write the configuration of a sidecar."""
+        directory = self.addresses["directory"]
+        given = platform_config(self.scenario, number, listen, directory, self.listed)
+        (self.folder / f"sidecar-{number}.json").write_text(json.dumps(given))
+
+    async def upgrade(self, number: int) -> None:
+        """Start a sidecar beside the one that runs, on its socket; then end that one in order."""
+        name = f"sidecar-{number}"
+        old = self.processes[name]
+        await self.sidecar(number)
+        old.send_signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(old.wait(), END_WITHIN)
+        except TimeoutError:
+            self.crashed.append(f"{name} did not end within {END_WITHIN:g} s of its upgrade")
+            old.kill()
+            await old.wait()
+
+    async def end_node(self, name: str) -> None:
+        """End a node without a word; others of its pod stay."""
+        house = self.houses.pop(name)
+        if house in self.houses.values():
+            await self.order(self.addresses[name], {"end": True})
+        else:
+            await self.end(house, kill=True)
+
     async def end(self, name: str, kill: bool) -> None:
         process = self.processes[name]
         if process.returncode is not None:
@@ -204,8 +318,12 @@
             process.kill()
             await process.wait()
 
-    def order(self, address: str, order: dict) -> None:
+    async def order(self, address: str, order: dict) -> None:
         """Tell a stand-in what to do."""
+        await asyncio.to_thread(self._order, address, order)
+
+    @staticmethod
+    def _order(address: str, order: dict) -> None:
         connection = http.client.HTTPConnection(address, timeout=2.0)
         try:
             connection.request("POST", "/-/lab", json.dumps(order))
@@ -219,35 +337,51 @@
 
     async def take(self, step: Step) -> None:
         self.said = f"{step.do.replace('_', ' ')} {', '.join(map(str, step.nodes))}".strip()
-        if step.do in ("directory_down", "directory_up"):
-            self.order(self.addresses["directory"], {"down": step.do == "directory_down"})
-        elif step.do in ("kill_sidecar", "end_sidecar"):
+        self.ledger.note("step", do=step.do, nodes=step.nodes)
+        if step.do.startswith("directory_"):
+            await self.take_directory(step)
+        elif step.do.endswith("_sidecar"):
             for number in range(1, self.scenario.sidecars + 1):
+                if step.do == "upgrade_sidecar":
+                    await self.upgrade(number)
+                    continue
                 await self.end(f"sidecar-{number}", kill=step.do == "kill_sidecar")
                 await self.sidecar(number)
         else:
-            for number in step.nodes:
-                await self.take_node(step, number)
-
-    async def take_node(self, step: Step, number: int) -> None:
-        name, directory = f"node-{number}", self.addresses["directory"]
-        if step.do == "swallow":
-            self.order(self.addresses[name], {"swallow": True})
-        elif step.do in ("fail", "slow"):
-            self.order(self.addresses[name], {step.do: step.much})
-        elif step.do == "well":
-            self.order(self.addresses[name], {"swallow": False, "fail": 0.0, "slow": 1.0})
-        elif step.do in ("drain", "serve"):
-            status = "DRAINING" if step.do == "drain" else "SERVING"
-            self.order(directory, {"name": name, "status": status})
-        elif step.do in ("gone", "vanish"):
-            await self.end(name, kill=True)
-            if step.do == "gone":
-                self.order(directory, {"name": name, "status": "DELETED"})
-        else:  # come, restart
-            if step.do == "restart":
-                await self.end(name, kill=True)
-            self.order(directory, await self.node(number, cold=True))
+            for place, number in enumerate(step.nodes):
+                await self.take_node(step, number, step.by[place] if step.by else number)
+
+    async def take_directory(self, step: Step) -> None:
+        address = self.addresses["directory"]
+        if step.do in ("directory_down", "directory_up"):
+            await self.order(address, {"down": step.do == "directory_down"})
+            return
+        old = [name for name in self.houses if name.startswith("directory")][-1]
+        if step.do == "directory_restart":
+            await self.end(old, kill=True)
+            await self.directory(address)
+            return
+        await self.directory()
+        for number in range(1, self.scenario.sidecars + 1):
+            self.configure(number, self.addresses[f"sidecar-{number}"])
+            self.processes[f"sidecar-{number}"].send_signal(signal.SIGHUP)
+        await self.end(old, kill=True)
+
+    async def take_node(self, step: Step, number: int, by: int) -> None:
+        name = f"node-{number}"
+        if step.do in TROUBLES:
+            await self.order(self.addresses[name], TROUBLES[step.do](step))
+        elif step.do in STATUSES:
+            await self.list({"name": name, "status": STATUSES[step.do]})
+        elif step.do == "come":
+            await self.list(await self.node(number))
+        else:  # gone, vanish, restart, replace
+            address = self.addresses[name]
+            await self.end_node(name)
+            if step.do in ("gone", "replace"):
+                await self.list({"name": name, "status": "DELETED"})
+            if step.do in ("restart", "replace"):
+                await self.list(await self.node(by, address if step.do == "replace" else ""))
 
     # The run
 
@@ -255,40 +389,30 @@
         """Play it to its end, and judge it."""
         scenario = self.scenario
         try:
-            self.addresses["directory"] = await self.stand_in("directory", "directory", {})
-            made = [self.node(number, cold=False) for number in range(1, scenario.fleet.nodes + 1)]
-            self.listed = await asyncio.gather(*made)
-            for entry in self.listed:
-                self.order(self.addresses["directory"], entry)
-            kinds = [
-                Kind(name, kind.share, kind.repeat, kind.deadline) for name, kind in scenario.kinds.items()
-            ]
+            self.listed = await self.fleet()
+            self.entries = {one["name"]: one for one in self.listed}
+            await self.directory()
+            kinds, habits = arriving(scenario)
+            factor = partial(times, scenario)
             for number in range(1, scenario.sidecars + 1):
                 host, _, port = (await self.sidecar(number)).rpartition(":")
                 ledger = Ledger(self.folder / f"clients-{number}.jsonl")
                 part = scenario.load.rate / scenario.sidecars
                 seed = self.seed * 100 + number
-                load = Load((host, int(port)), kinds, part, scenario.load.keys, seed, ledger, self.times)
+                load = Load((host, int(port)), kinds, part, scenario.load.keys, seed, ledger, factor, habits)
                 self.loads.append(load)
             steps = asyncio.create_task(self._steps())
             watch = asyncio.create_task(self._tick(tick))
+            looks = asyncio.create_task(self._look())
+            self.ledger.note("begin")
             await asyncio.gather(*(load.run(scenario.seconds) for load in self.loads))
             watch.cancel()
+            looks.cancel()
             await steps
         finally:
             await self.stop()
         return self._judged()
 
-    def times(self, passed: float) -> float:
-        """The factor on the load at a time of the run."""
-        part = passed / self.scenario.seconds
-        load = self.scenario.load
-        wave = 1.0 + load.wave * (2.0 * abs(2.0 * (part % 1.0) - 1.0) - 1.0)
-        for burst in load.bursts:
-            if burst.at <= part < burst.until:
-                wave *= burst.times
-        return wave
-
     async def _steps(self) -> None:
         loop = asyncio.get_running_loop()
         begin = loop.time()
@@ -296,6 +420,29 @@
             await asyncio.sleep(max(begin + step.at * self.scenario.seconds - loop.time(), 0.0))
             await self.take(step)
 
+    async def _look(self) -> None:
+        """Write down what sidecars use."""
+        while True:
+            for number in range(1, self.scenario.sidecars + 1):
+                name = f"sidecar-{number}"
+                if used := usage(self.processes[name].pid):
+                    self.ledger.note("used", name=name, **used)
+                self._look_at_log(name)
+            await asyncio.sleep(LOOK_EVERY)
+
+    def _look_at_log(self, name: str) -> None:
+        """Write down which nodes a sidecar says that it avoids, as it says so."""
+        with (self.folder / f"{name}.log").open("rb") as file:
+            file.seek(self.read_to.get(name, 0))
+            lines = file.read()
+        whole = lines[: lines.rfind(b"\n") + 1]
+        self.read_to[name] = self.read_to.get(name, 0) + len(whole)
+        text = whole.decode(errors="replace")
+        for server, number in KNOWN.findall(text):
+            self.numbers[name, number] = server
+        for number in EJECTED.findall(text):
+            self.ledger.note("ejected", name=self.numbers.get((name, number), number), by=name)
+
     async def _tick(self, tick: Callable[[float, Stage], None]) -> None:
         for second in range(int(self.scenario.seconds) + 1):
             tick(float(second), self)
@@ -311,12 +458,22 @@
                 await self.end(name, kill=False)
         for load in self.loads:
             load.ledger.close()
+        for listening in self.sockets.values():
+            listening.close()
+        if self.shared:
+            shutil.rmtree(self.shared, ignore_errors=True)
         self.ledger.close()
 
     def _judged(self) -> Played:
-        nodes = {name: self.folder / f"{name}.jsonl" for name in self.addresses if name.startswith("node")}
-        clients = [load.ledger.path for load in self.loads if load.ledger.path is not None]
+        names = {path.stem: path for path in self.folder.glob("*.jsonl")}
+        nodes = {name: list(read(path)) for name, path in names.items() if name.startswith("node")}
+        clients = [list(read(path)) for name, path in names.items() if name.startswith("clients")]
+        told = sorted(
+            (event for name, path in names.items() if name.startswith("directory") for event in read(path)),
+            key=lambda event: event["at"],
+        )
+        stage = list(read(self.folder / "stage.jsonl"))
         unsafe = [name for name, kind in self.scenario.kinds.items() if kind.repeat != "safe"]
-        stage = self.folder / "stage.jsonl"
-        report = judge(clients, nodes, self.folder / "directory.jsonl", unsafe, stage)
-        return Played(report, max(load.lag for load in self.loads), self.crashed)
+        report = judge(clients, nodes, told, unsafe, stage, MEANS)
+        lag = max(load.lag for load in self.loads)
+        return Played(report, lag, self.crashed, series(clients, nodes, stage, self.scenario.seconds))
--- /dev/null
+++ b/ochreflow/rehearsal/build.py
@@ -0,0 +1,36 @@
+"""The decision module of a build: the one of this package, or of another checkout beside it."""
+
+from __future__ import annotations
+
+import importlib
+import importlib.util
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from types import ModuleType
+
+
+@dataclass(slots=True)
+class Policy:
+    """The three modules that make it up."""
+
+    interface: ModuleType
+    logic: ModuleType
+    settings: ModuleType
+
+
+def load(folder: Path | None) -> Policy:
+    """Load `folder`/ochreflow/policy, or this package's own. FileNotFoundError if there is none."""
+    name = "ochreflow.policy"
+    if folder is not None:
+        place = (folder / "ochreflow" / "policy").resolve()
+        name = f"_policy_{abs(hash(place)):x}"
+        if name not in sys.modules:
+            init = place / "__init__.py"
+            spec = importlib.util.spec_from_file_location(name, init, submodule_search_locations=[str(place)])
+            if spec is None or spec.loader is None or not init.exists():
+                raise FileNotFoundError(f"{place}: no decision module there")
+            sys.modules[name] = importlib.util.module_from_spec(spec)
+            spec.loader.exec_module(sys.modules[name])
+    parts = (importlib.import_module(f"{name}.{part}") for part in ("interface", "logic", "settings"))
+    return Policy(*parts)
--- /dev/null
+++ b/tests/test_compare.py
@@ -0,0 +1,105 @@
+"""Comparing builds: pairs, intervals, verdicts, and what a report holds."""
+
+import json
+import subprocess
+
+import pytest
+from test_operator_file import command
+
+from ochreflow.lab.builds import BuildError, make
+from ochreflow.lab.differences import differences, interval
+
+
+def result(build, seed, worth, scenario="s", verdict="kept"):
+    classes = {"a": {"p99": 0.1, "attempts": 10, "asked": 10}}
+    return {
+        "scenario": scenario,
+        "seed": seed,
+        "build": build,
+        "worth": worth,
+        "verdict": verdict,
+        "classes": classes,
+    }
+
+
+def worths(found):
+    return {one.scenario: one for one in differences(found, "A", "B") if one.measure == "worth"}
+
+
+@pytest.mark.parametrize(
+    ("by", "verdict"),
+    [
+        ([0.02, 0.03, 0.01, 0.02, 0.02], "better"),
+        ([-0.02, -0.03, -0.01, -0.02, -0.02], "worse"),
+        ([0.05, -0.04, 0.03, -0.05, 0.01], "no difference shown"),
+        ([0.0] * 5, "no difference shown"),
+        ([0.5, 0.5], "no difference shown"),  # two pairs say nothing of chance
+    ],
+)
+def test_the_verdict_follows_the_interval_of_pairs(by, verdict):
+    # Seeds differ by far more than builds do: only pairing shows it.
+    found = [result("A", seed, 0.1 * seed) for seed in range(len(by))]
+    found += [result("B", seed, 0.1 * seed + more) for seed, more in enumerate(by)]
+    one = worths(found)["s"]
+    assert one.verdict == verdict and one.pairs == len(by)
+    assert one.low <= sum(by) / len(by) <= one.high
+
+
+def test_void_and_single_runs_are_no_pairs_and_all_scenarios_are_summed_up():
+    found = [result(build, seed, 0.5, name) for build in "AB" for seed in range(4) for name in ("s", "t")]
+    found += [result("A", 9, 0.1, "t", "void"), result("B", 9, 0.9, "t"), result("A", 8, 0.1, "s")]
+    made = worths(found)
+    assert {name: one.pairs for name, one in made.items()} == {"s": 4, "t": 4, "all": 8}
+
+
+def test_the_interval_is_the_same_each_time_and_narrows_with_pairs():
+    values = [0.01 * (number % 7) for number in range(70)]
+    assert interval(values) == interval(values)
+    few, many = interval(values[:7]), interval(values)
+    assert many[1] - many[0] < few[1] - few[0]
+
+
+def test_builds_are_had_or_refused_in_one_line(tmp_path):
+    made = make(".,policy/logic.py:STRIKES=9.5,policy/logic.py:PACE=1.0", tmp_path / "a")
+    text = (made / "ochreflow/policy/logic.py").read_text()
+    assert "\nSTRIKES = 9.5\n" in text and "\nPACE = 1.0\n" in text
+    for number, (wrong, said) in enumerate(
+        [
+            (".,STRIKES=9", "wanted FILE:NAME=VALUE"),
+            (".,policy/none.py:STRIKES=9", "there is no policy/none.py"),
+            (".,policy/logic.py:NONE=9", "no constant NONE"),
+            ("no-such-revision", "no-such-revision"),
+        ]
+    ):
+        with pytest.raises(BuildError) as caught:
+            make(wrong, tmp_path / f"wrong{number}")
+        assert said in str(caught.value) and "\n" not in str(caught.value)
+
+
+def test_a_revision_is_had_from_git(tmp_path, monkeypatch):
+    repository = tmp_path / "r"
+    (repository / "ochreflow").mkdir(parents=True)
+    (repository / "ochreflow/a.py").write_text("OLD = 1\n")
+    for line in ("init -q", "add .", "-c user.name=n -c user.email=e commit -qm one"):
+        subprocess.run(["git", *line.split()], cwd=repository, check=True)
+    (repository / "ochreflow/a.py").write_text("NEW = 1\n")
+    monkeypatch.setattr("ochreflow.lab.builds.HERE", repository / "ochreflow")
+    assert (make("HEAD", tmp_path / "old") / "ochreflow/a.py").read_text() == "OLD = 1\n"
+    assert (make(".", tmp_path / "new") / "ochreflow/a.py").read_text() == "NEW = 1\n"
+
+
+def test_the_command_finds_a_worse_build_and_writes_a_report(tmp_path):
+    out, html = tmp_path / "r.jsonl", tmp_path / "r.html"
+    worse = ".,policy/logic.py:RETRY_SHARE=0.0"  # nothing is ever repeated
+    options = ["--rehearse", "--seeds", "4", "--jobs", "4", "--out", str(out), "--html", str(html)]
+    done = command("lab", "compare", ".", worse, "-s", "vanished", "-s", "replaced", *options)
+    assert done.returncode == 0, done.stderr
+    rows = [line for line in done.stdout.splitlines() if " worth " in line]
+    verdicts = {row.split()[0]: " ".join(row.split()[8:]) for row in rows}
+    assert verdicts == {"replaced": "no difference shown", "vanished": "worse", "all": "worse"}
+    assert len(out.read_text().splitlines()) == 16
+    assert all("series" not in json.loads(line) for line in out.read_text().splitlines())
+    text = html.read_text()
+    assert text.count("data:image/png;base64,") == 4 and 'src="http' not in text and worse in text
+    done = command("lab", "compare", ".", ".,x", "--rehearse")
+    assert done.returncode == 2 and done.stderr.count("\n") == 1
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -11,11 +11,13 @@
 import pytest
 from net_helpers import HOST, WAIT, Fake, ask, read_message, reply, run
 
+from ochreflow.lab.arrivals import Habits, Kind
 from ochreflow.lab.directory import Directory
 from ochreflow.lab.judge import RULES, SECOND, judge
 from ochreflow.lab.ledger import Ledger, read
-from ochreflow.lab.load import Kind, Load
-from ochreflow.lab.node import Node, Traits
+from ochreflow.lab.load import Load
+from ochreflow.lab.model import Traits
+from ochreflow.lab.node import Node
 
 ROOT = Path(__file__).parent.parent
 
@@ -56,7 +58,7 @@
         assert (await ask(port, request("b", "exposure", token))).body == b"n:b"
         assert (await ask(port, request("b", "exposure", token))).body == b"n:b"
         assert (await ask(port, b"GET /assign HTTP/1.1\r\n\r\n")).code == 404
-        node.trouble.slow = 20.0
+        node.model.trouble.slow = 20.0
         crowd = await asyncio.gather(*(ask(port, request(f"c{n}")) for n in range(6)))
         turned = [got for got in crowd if got.code == 503]
         assert len(turned) == 3 and turned[0].headers["x-not-run"] == "1"
@@ -94,7 +96,7 @@
         results = await asyncio.gather(
             *(ask(port, request(f"h{n}")) for n in range(300)), return_exceptions=True
         )
-        assert any(isinstance(result, Exception) for result in results) and node.fallen
+        assert any(isinstance(result, Exception) for result in results) and node.model.fallen
 
     traits = {"warm_within": 60.0, "start_capacity": 0.15}
     assert "fell" not in kinds(with_node(tmp_path, gently, **traits))
@@ -185,7 +187,7 @@
             "directory": [at(6.0, "told", entries={"n": "DRAINING"})],
         },
         "drains kept",
-        "n got request b 3.200 s after the word of its drain",
+        "n got request b 3.200 s after the word of its end",
     ),
     "drain told again": (
         {
@@ -196,6 +198,25 @@
         "drains kept",
         "3.200 s after",
     ),
+    "gone, by a whole list without it": (
+        {
+            "clients": [asked("b", 9.0), answered("b", 9.5)],
+            "n": node_did("b", 9.2),
+            "directory": [at(6.0, "told", entries={"m": "SERVING"}, whole=True)],
+        },
+        "drains kept",
+        "n got request b 3.200 s after the word of its end",
+    ),
+    "too much memory": (
+        {
+            "stage": [
+                at(t, "used", name="sidecar-1", memory_mb=m, sockets=9)
+                for t, m in ((2, 50), (3, 300), (4, 80))
+            ]
+        },
+        "within its means",
+        "sidecar-1 held memory_mb 300 of 192 at 3000000000",
+    ),
     "pushed over": (
         {"m": [at(5.0, "fell", offered=9.0, bearable=2.0)]},
         "no cold node pushed over",
@@ -227,6 +248,7 @@
         "n": node_did("b", 9.2),
         "directory": [at(t, "told", entries={"n": s}) for t, s in ((6.0, "DRAINING"), (8.0, "SERVING"))],
     },
+    "a client that left": {"clients": [asked("b"), answered("b", 1.1, "left", "")], "n": node_did("b")},
     "an execution of what may run again": {
         "clients": [asked("b", 1.0, "lookup"), answered("b", cls="lookup")],
         "n": [*node_did("b", 1.2, "lookup"), *node_did("b", 1.3, "lookup")],
@@ -234,26 +256,23 @@
 }
 
 
-def judged(tmp_path, more):
-    paths = {}
-    for name, events in FINE.items():
-        paths[name] = tmp_path / name
-        lines = [json.dumps(event) for event in [*events, *more.get(name, [])]]
-        paths[name].write_text("\n".join(lines) + "\n")
-    nodes = {name: paths[name] for name in ("n", "m")}
-    return judge([paths["clients"]], nodes, paths["directory"], ["assign"])
+def judged(more):
+    events = {name: [*known, *more.get(name, [])] for name, known in FINE.items()}
+    nodes = {name: events[name] for name in ("n", "m")}
+    means = {"memory_mb": 192, "sockets": 1024}
+    return judge([events["clients"]], nodes, events["directory"], ["assign"], more.get("stage", ()), means)
 
 
 @pytest.mark.parametrize("name", WRONG)
-def test_the_judge_convicts_with_evidence(tmp_path, name):
+def test_the_judge_convicts_with_evidence(name):
     more, rule, text = WRONG[name]
-    findings = judged(tmp_path, more).findings
+    findings = judged(more).findings
     assert [finding.rule for finding in findings] == [rule] and text in findings[0].text
 
 
 @pytest.mark.parametrize("name", [None, *RIGHT])
-def test_the_judge_convicts_nobody_else(tmp_path, name):
-    report = judged(tmp_path, RIGHT.get(name, {}))
+def test_the_judge_convicts_nobody_else(name):
+    report = judged(RIGHT.get(name, {}))
     assert not report.findings
     assert report.by_class["assign"]["asked"] == report.by_class["assign"].total() / 2
 
@@ -274,9 +293,7 @@
         return seen
 
     seen = run(play())
-    for name in ("n", "directory"):
-        (tmp_path / name).write_text("")
-    report = judge([tmp_path / "clients"], {"n": tmp_path / "n"}, tmp_path / "directory", ["assign"])
+    report = judge([read(tmp_path / "clients")], {"n": []}, [], ["assign"])
     assert len(seen) > 3
     assert [finding.text.split(":")[0] for finding in report.findings] == [f"request {seen[2]}"]
     assert "2 answers" in report.findings[0].text
@@ -304,3 +321,114 @@
     assert done.stdout.count("kept  ") == len(RULES)
     served = int(re.search(r"assign +\d+ +(\d+)", done.stdout)[1])
     assert served > 50 and (tmp_path / "kept" / "node-7.jsonl").exists()
+
+
+def test_a_directory_with_manners_is_slow_late_forgetful_and_full(tmp_path):
+    async def play():
+        loop = asyncio.get_running_loop()
+        directory = Directory(Ledger(tmp_path / "d.jsonl"), loop)
+        server = await loop.create_server(directory.service.connection, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+
+        def get(query=""):
+            return ask(port, f"GET /api/targets{query} HTTP/1.1\r\n\r\n".encode())
+
+        for number in range(6):
+            await ask(port, order(name=f"n{number}", address=f"{HOST}:1", status="SERVING"))
+        await ask(port, order(manners={"per_second": 50.0, "room": 2, "keeps": 3}))
+        codes = sorted(got.code for got in await asyncio.gather(*(get() for _ in range(5))))
+        assert codes == [200, 200, 200, 503, 503]
+        assert not json.loads((await get("?after=4&wait_ms=9")).body)["snapshot"]
+        assert json.loads((await get("?after=1&wait_ms=9")).body)["snapshot"]  # too long ago
+        await ask(port, order(manners={"resets": 1.0}))
+        with pytest.raises((OSError, EOFError, AssertionError)):
+            await get()
+        await ask(port, order(manners={"late": 0.2}))
+        watch = asyncio.create_task(get("?after=6&wait_ms=60000"))
+        while not directory.watches:
+            await asyncio.sleep(0.001)
+        await ask(port, order(name="n1", status="DRAINING"))
+        assert directory.watches  # nobody has been told yet
+        assert json.loads((await watch).body)["endpoints"][0]["status"] == "DRAINING"
+
+    run(play())
+
+
+@pytest.mark.parametrize("form", ["extra", "interim", "cut", "garbled", "stalled"])
+def test_a_node_spoils_its_answers_in_the_form_it_is_told(tmp_path, form):
+    async def steps(node, port):
+        await ask(port, order(spoil=1.0, form=form))
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(request("a"))
+        while not (seen := kinds(read(tmp_path / "node.jsonl")))["ran"]:
+            await asyncio.sleep(0.005)
+        assert seen["taken"] == 1
+        writer.write_eof()
+        async with asyncio.timeout(WAIT):
+            got = await reader.read()
+        starts = {"interim": b"HTTP/1.1 103", "garbled": b"HTP"}
+        assert got.startswith(starts.get(form, b"HTTP/1.1 200 OK"))
+        ends = {
+            "extra": b"!",
+            "interim": b"n:a",
+            "garbled": b"n:a",
+            "cut": b"\r\n\r\nn",
+            "stalled": b"\r\n\r\nn",
+        }
+        assert got.endswith(ends[form])
+        writer.close()
+
+    with_node(tmp_path, steps)
+
+
+def test_a_node_holds_no_more_connections_than_it_may(tmp_path):
+    async def steps(node, port):
+        first = await asyncio.open_connection(HOST, port)
+        first[1].write(request("a"))
+        await read_message(first[0])
+        reader, writer = await asyncio.open_connection(HOST, port)
+        with pytest.raises((OSError, EOFError)):
+            writer.write(request("b"))
+            if not await reader.read(1):
+                raise EOFError
+        first[1].write(request("c"))
+        assert (await read_message(first[0])).body == b"n:c"
+        first[1].close()
+
+    assert kinds(with_node(tmp_path, steps, connections=1))["taken"] == 2
+
+
+def test_clients_leave_are_slow_and_come_back_after_a_refusal(tmp_path):
+    async def play():
+        async def turns(message, reader, writer):
+            first = message.headers["x-request-id"].split("-")[0]
+            tries.setdefault(first, []).append(message)
+            if len(tries[first]) < 3:
+                writer.write(b"HTTP/1.1 503 No\r\nRetry-After: 0.01\r\nContent-Length: 0\r\n\r\n")
+            else:
+                writer.write(reply(200, b"n:x"))
+
+        tries = {}
+        fake = await Fake(turns).start()
+        ledger = Ledger(tmp_path / "clients")
+        habits = Habits(slow=0.3, long=0.3, long_bytes=50_000, hinted=1.0, tries=3)
+        load = Load(
+            (HOST, fake.port), [Kind("a", 1.0, "keyed", 2.0, 0.05)], 60.0, 5, 1, ledger, habits=habits
+        )
+        await load.run(0.4)
+        ledger.close()
+        return tries, load
+
+    tries, load = run(play())
+    assert len(tries) > 10 and all(len(messages) == 3 for messages in tries.values())
+    assert load.counts["served"] == len(tries) and load.counts["refused"] == 2 * len(tries)
+    for messages in tries.values():
+        assert [message.headers.get("x-retry") for message in messages] == [None, "1", "1"]
+        assert len({message.headers["x-request-id"] for message in messages}) == 3
+        assert len({message.headers["idempotency-key"] for message in messages}) == 1
+        waits = [int(message.headers["x-deadline"][:-1]) for message in messages]
+        assert waits == sorted(waits, reverse=True) and waits[2] < 2000
+        assert int(messages[0].headers["x-cost-hint"]) > 1000
+    assert any(len(messages[0].body) > 50_000 for messages in tries.values())
+    report = judge([read(tmp_path / "clients")], {"n": []}, [], [])
+    assert len(report.matters["a"]) == len(tries) and None not in report.matters["a"].values()
--- /dev/null
+++ b/tests/test_rehearsal.py
@@ -0,0 +1,60 @@
+"""Scenarios in simulated time: the same bytes for the same seed, and the same judge."""
+
+import msgspec
+import pytest
+from test_scenarios import COLD, DRAINED, KILLED, SABOTAGE, TROUBLED, sabotaged
+
+from ochreflow.lab.scenario import names, read_scenario
+from ochreflow.rehearsal.build import load
+from ochreflow.rehearsal.play import rehearse
+
+OF_THE_MODULE = [rule for rule, (file, *_) in SABOTAGE.items() if file.startswith("policy/")]
+
+
+@pytest.mark.parametrize("name", names())
+def test_the_library_keeps_every_rule(name):
+    played = rehearse(read_scenario(name), 3)
+    assert played.verdict == 0, played.report.findings[:3]
+    counts = played.report.by_class.values()
+    assert sum(one["served"] for one in counts) > 0.9 * sum(one["asked"] for one in counts)
+
+
+def test_the_same_seed_gives_the_same_bytes_and_another_one_others():
+    made = read_scenario("odd-clients")
+    digests = [rehearse(made, seed).digest for seed in (5, 5, 6)]
+    assert digests[0] == digests[1] != digests[2]
+
+
+@pytest.mark.parametrize("rule", OF_THE_MODULE)
+def test_a_sabotaged_module_is_convicted(rule, tmp_path):
+    file, old, new, made = SABOTAGE[rule]
+    for seed in range(1, 9):  # what chance decides needs some seeds; a good module breaks nothing in any
+        assert rehearse(made, seed).verdict == 0
+    program = sabotaged(tmp_path, file, old, new)
+    found = {
+        finding.rule for seed in range(1, 9) for finding in rehearse(made, seed, program).report.findings
+    }
+    assert rule in found
+
+
+def test_what_is_lost_while_a_sidecar_is_killed_is_counted_and_excused():
+    played = rehearse(read_scenario("kill-loop"), 1)
+    lost = sum(counts["lost"] for counts in played.report.by_class.values())
+    assert lost > 10 and played.verdict == 0
+
+
+@pytest.mark.parametrize("made", [TROUBLED, DRAINED, KILLED, COLD])
+def test_the_offered_load_is_the_same_on_both_clocks(made):
+    """What clients want depends on the seed alone: a build or a clock changes nothing of it."""
+    first = rehearse(made, 2).report.matters
+    slower = msgspec.structs.replace(made, fleet=msgspec.structs.replace(made.fleet, cores=1))
+    again = rehearse(slower, 2).report.matters
+    assert {name: set(idents) for name, idents in first.items()} == {
+        name: set(idents) for name, idents in again.items()
+    }
+
+
+def test_a_folder_without_a_module_is_told(tmp_path):
+    with pytest.raises(FileNotFoundError, match="no decision module"):
+        load(tmp_path)
+    assert load(None) is not load(None) and load(None).logic is load(None).logic
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -13,7 +13,7 @@
 import ochreflow
 from ochreflow.lab.judge import RULES
 from ochreflow.lab.runs import worth
-from ochreflow.lab.scenario import Burst, Scenario, ScenarioError, names, read_scenario
+from ochreflow.lab.scenario import Burst, Scenario, ScenarioError, names, read_scenario, times
 from ochreflow.lab.stage import Stage
 
 PROGRAM = Path(ochreflow.__file__).parent
@@ -73,6 +73,12 @@
         "        return bool(server.started) or self.random.random() < 0.1",
         COLD,
     ),
+    "within its means": (
+        "core/engine.py",
+        "        self.held[held.id] = held\n",
+        "        self.held[held.id] = held; self.__dict__.setdefault('kept', []).append(b'x' * 1_500_000)\n",
+        TROUBLED,
+    ),
     "true answers": (
         "http/connection.py",
         "return 200, _lines(answer), answer.body",
@@ -158,11 +164,11 @@
     assert done.returncode == 2 and done.stderr.count("\n") == 1
 
 
-def test_the_load_follows_its_shape_and_worth_counts_what_was_in_time(tmp_path):
+def test_the_load_follows_its_shape_and_worth_counts_what_was_in_time():
     made = scenario(10.0, 50, 1)
     load = msgspec.structs.replace(made.load, bursts=(Burst(0.4, 0.5, 2.5),), wave=0.5)
-    stage = Stage(msgspec.structs.replace(made, load=load), tmp_path, 1)
-    assert stage.times(0.0) == 1.5 and stage.times(5.0) == 0.5
-    assert stage.times(4.5) / stage.times(5.5) == pytest.approx(2.5)
-    counts = {"asked": 10, "in_time": 5}
-    assert worth(made, {"exposure": counts, "assign": {"asked": 0, "in_time": 0}}) == 0.5
+    shaped = msgspec.structs.replace(made, load=load)
+    assert times(shaped, 0.0) == 1.5 and times(shaped, 5.0) == 0.5
+    assert times(shaped, 4.5) / times(shaped, 5.5) == pytest.approx(2.5)
+    counts = {"wanted": 10, "in_time": 5}
+    assert worth(made, {"exposure": counts, "assign": {"wanted": 0, "in_time": 0}}) == 0.5
