In an overload let a server that fails in part do what would be refused

Two errors in a row eject a server, also one that answers most requests well; with the others full, what it could still do was refused.

Change: a request that admission turns away goes to such a server, if its latest news was an answer, at least half of its answers were no errors, and it holds no more than the others do each. A server that is silent or broken gets nothing by this. Reduced to a test that fails for each of the three conditions when it is taken out.

--- /dev/null
+++ b/benchmarks/worse_builds.py
@@ -0,0 +1,90 @@
+"""Ranks deliberately worse builds by the lab, in simulated time: does the ruler see what is known to be worse?
+
+    python benchmarks/worse_builds.py [--seeds 8] [--jobs 8] [--into FOLDER]
+
+Each build has a line or two of the decision module changed. Prints one JSON object: mean worth by scenario and
+build, and the difference to the module as it is with its interval. With --into it only makes the builds there.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import tempfile
+from collections import defaultdict
+from pathlib import Path
+
+from ochreflow.lab.builds import make
+from ochreflow.lab.differences import interval
+from ochreflow.lab.runs import results, scenarios_of
+from ochreflow.lab.scenario import names
+from ochreflow.rehearsal.play import rehearse
+
+LOGIC = Path("ochreflow/policy/logic.py")
+WORSE = {  # what is changed, and into what
+    "as it is": {},
+    "no ejection": {"STRIKES = 2.0": "STRIKES = 1e9"},
+    "random pick": {"if best is None or delay < lowest:": "if best is None or self.random.random() < 0.5:"},
+    "no retry budget": {"RETRY_SHARE = 0.1": "RETRY_SHARE = 1e6"},
+}
+
+
+def built(folder: Path) -> dict[str, Path]:
+    """Make all builds; their folders."""
+    made = {}
+    for name, changes in WORSE.items():
+        made[name] = make(".", folder / name.replace(" ", "-"))
+        text = (made[name] / LOGIC).read_text()
+        for old, new in changes.items():
+            if text.count(old) != 1:
+                raise SystemExit(f"{name}: {old!r} is there {text.count(old)} times")
+            text = text.replace(old, new)
+        (made[name] / LOGIC).write_text(text)
+    return made
+
+
+def ranked(builds: dict[str, Path], seeds: int, jobs: int) -> dict[str, object]:
+    scenarios = scenarios_of(names(), None)
+    work = [
+        (name, scenario, seed, build, program)
+        for seed in range(1, seeds + 1)
+        for name, scenario in scenarios.items()
+        for build, program in builds.items()
+    ]
+    worth: dict[str, dict[tuple[str, int], float]] = defaultdict(dict)
+    broken: dict[str, int] = defaultdict(int)
+    for result in results(rehearse, work, jobs):
+        worth[result["build"]][result["scenario"], result["seed"]] = result["worth"]
+        broken[result["build"]] += result["verdict"] == "broken"
+    told: dict[str, object] = {}
+    known = worth["as it is"]
+    for build, found in worth.items():
+        less = [found[key] - known[key] for key in sorted(known)]
+        by_scenario = {
+            name: round(sum(found[name, seed] for seed in range(1, seeds + 1)) / seeds, 4)
+            for name in scenarios
+        }
+        told[build] = {
+            "worth": round(sum(found.values()) / len(found), 4),
+            "difference": [round(value, 4) for value in interval(less)],
+            "runs that broke a rule": broken[build],
+            "scenarios": by_scenario,
+        }
+    return told
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=8)
+    parser.add_argument("--jobs", type=int, default=8)
+    parser.add_argument("--into", type=Path)
+    given = parser.parse_args()
+    if given.into is not None:
+        built(given.into)
+        return
+    with tempfile.TemporaryDirectory() as folder:
+        print(json.dumps(ranked(built(Path(folder)), given.seeds, given.jobs), indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- a/ochreflow/policy/logic.py
+++ b/ochreflow/policy/logic.py
@@ -81,6 +81,8 @@
 EJECT_JITTER = 0.3  # either way: sidecars must not try a server together
 EJECT_SHARE = 0.7  # of the ready servers, on broken connections; beyond it, suspect oneself and spread
 EJECT_SHARE_ON_SILENCE = 0.34  # on missing answers alone: if a third is silent, it is load
+SOUND_SMOOTHING = 0.1  # weight of a new answer of one server in its part of answers that are no errors
+SOUND_LEAST = 0.5  # of it, for a server to be of use in need: it does more good than harm
 
 # Sidecars that see little: fewer requests in a deadline than there are servers.
 SET_LEAST = 2  # servers of each side (own zone, others) sampled from at the least: a pick of two needs two
@@ -197,6 +199,8 @@
         self.samples = 0
         self.heard = 0
         self.last_ok = 0
+        self.sound = 1.0  # smoothed part of its answers that are no errors
+        self.answers = True  # whether the latest news of it was an answer, if only an error
         self.load = 0.0  # requests held, as last reported
         self.load_at = 0
         self.unit = 0.0  # smoothed latency for each request held, in class means; 0: not known
@@ -366,12 +370,29 @@
         if server is None and not asks:
             self._plan_repeat(req)
         elif not self._admit(req, self._value(event, req)):
-            self._end(req)
+            spare = self._spare(req)
+            if spare is None:
+                self._end(req)
+            else:
+                self._send(req, spare)
         elif asks:
             self._ask(req)
         else:
             self._send(req, server)
 
+    def _spare(self, req: Open) -> Server | None:
+        """A server that is avoided for its errors, for a request that would else be refused.
+
+        Guards against refusing, in an overload, what a server that fails in part could still do. It gets no
+        more than the others hold each, and nothing if it fails for the most part or does not answer.
+        """
+        most = max(self.inflight / max(len(self.near) + len(self.far), 1), 1.0)
+        for server in self.ejected:
+            of_use = server.answers and server.sound >= SOUND_LEAST and server.waited_for() < most
+            if of_use and self._may_send(req, server):
+                return server
+        return None
+
     def _first_try(self, req: Open) -> None:
         server = self._pick(req)
         if server is None:
@@ -811,6 +832,10 @@
             server.trial_out = False
         if status is Status.MOOT:
             return
+        if status in (Status.OK, Status.ERROR):
+            server.sound += SOUND_SMOOTHING * ((status is Status.OK) - server.sound)
+        if status is not Status.CANCELLED:
+            server.answers = status in (Status.OK, Status.ERROR, Status.FULL)
         if status is Status.OK:
             self._learn_usual(cls, took)
             if server.cold_at:
@@ -874,6 +899,7 @@
         elif not silent:
             self._press(server, req.cls, self.now - sent)  # late news is no use: count it while it waits
         else:  # one long piece of work must not condemn a server by itself
+            server.answers = False
             self._strike(server, HINT_STRIKE, EJECT_SHARE_ON_SILENCE)
         if server.ejected:
             self._rescue(req, number)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -7,6 +7,7 @@
 
 from ochreflow import Balancer
 from ochreflow.policy.interface import (
+    Dropped,
     Effect,
     ListKind,
     Membership,
@@ -343,3 +344,47 @@
     late = Request(200, 0, 0, now + 700 * MS, waited_ns=waited)
     actions = balancer.handle(now, late)
     assert any(isinstance(action, Send) for action in actions) == sent
+
+
+def crowded(status, errors=2, **more):
+    """Four servers, of which one was ejected after so many failures; the others are full to the limit."""
+    balancer, now = make(entries=[endpoint(100 + n) for n in range(4)], second_copies=False, **more)
+    balancer._correct_limit()
+    ident = failed = 0
+    while failed < errors or not balancer.ejected:
+        now += 500 * MS
+        assert ident < 5000
+        sent = []
+        for ident in range(ident + 1, ident + 7):
+            sent += [a for a in balancer.handle(now, request(ident, now)) if isinstance(a, Send)]
+        now += 5 * MS
+        for action in sent:
+            bad = action.server == 100
+            failed += bad
+            ended = Outcome(action.id, 0, action.server, status if bad else Status.OK, 5 * MS, True)
+            balancer.handle(now, ended)
+    balancer.limit, balancer.limit_at = 1.0, now  # what an overload makes of it
+    actions = []
+    for more_of_them in range(1, 9):
+        actions += balancer.handle(now, request(1000 + more_of_them, now))
+    return [a.server for a in actions if isinstance(a, Send)], [a for a in actions if isinstance(a, Refuse)]
+
+
+def test_in_an_overload_a_server_that_fails_in_part_does_what_would_be_refused():
+    servers, refused = crowded(Status.ERROR)
+    assert len(servers) == 2 and 100 in servers  # one, as the others hold each, and no more
+    assert len(refused) == 6
+
+
+@pytest.mark.parametrize(
+    ("status", "errors"),
+    [
+        (Status.RESET, 2),  # what is sent there may have run, and is never known to have
+        (Status.TIMEOUT, 2),
+        (Status.CONNECT_FAILED, 2),
+        (Status.ERROR, 9),  # it fails for the most part
+    ],
+)
+def test_a_server_that_does_not_answer_or_hardly_ever_well_is_no_help(status, errors):
+    servers, refused = crowded(status, errors)
+    assert len(servers) == 1 and 100 not in servers and len(refused) == 7
