Put a fleet that is cold as a whole to work at once

Cause: found by tracing the limit on courses. The pace to a cold server is a part of the rate of answers; a fleet that is cold as a whole has given none, so nothing was sent and none ever came, until the clock called it warm: 7.5 s without one attempt at a warm-up of 8 s, and 95 % of a 30 s run lost at one of 30 s.

Change: a cold server also gets what half of one of its cores does in the usual time, all sidecars together, by the ramp. One that turns requests away loses the credit it had earned, as these push it over too.

--- a/ochreflow/cli/main.py
+++ b/ochreflow/cli/main.py
@@ -213,6 +213,23 @@
         raise click.UsageError(str(error)) from None
 
 
+@lab.command(
+    name="trace", epilog=_example("ochreflow lab trace 'cold start' step --seeds 4 --html limit.html")
+)
+@click.argument("courses", nargs=-1, metavar="[COURSE...]")
+@click.option("--seeds", type=click.IntRange(1, 1000), default=4, show_default=True, help="Runs of each.")
+@click.option("--jobs", type=click.IntRange(1, 64), default=1, show_default=True, help="Runs at a time.")
+@click.option("--html", metavar="FILE", help="Write plots of the first seed there.")
+def lab_trace(courses: tuple[str, ...], seeds: int, jobs: int, html: str | None) -> int:
+    """Trace the limit on what is in flight, in simulated time, against an oracle that knows the capacity."""
+    from ..rehearsal.courses import COURSES
+    from ..rehearsal.show import run
+
+    if unknown := [name for name in courses if name not in COURSES]:
+        raise click.UsageError(f"{unknown[0]}: no such course; there are {', '.join(COURSES)}")
+    return run(list(courses or COURSES), seeds, jobs, html)
+
+
 @lab.command(epilog=_example("ochreflow lab fault --to 127.0.0.1:7070 --script faults.toml --seed 7"))
 @click.option("--to", "target", metavar="ADDRESS", required=True, help="Where traffic goes on.")
 @click.option("--listen", metavar="ADDRESS", default="127.0.0.1:0", show_default=True)
--- a/ochreflow/lab/arrivals.py
+++ b/ochreflow/lab/arrivals.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from itertools import accumulate
 
-from .model import drawn_work
+from .model import TAIL, drawn_work
 
 SKEW = 0.9  # Zipf: a few keys are far more popular
 LEAVE_WITHIN = 3.0  # times the mean work of its class: many leave while a node is at it
@@ -34,6 +34,7 @@
     long: float = 0.0  # bring a body of `long_bytes`
     long_bytes: int = 200_000
     hinted: float = 0.0  # tell what the work will cost
+    tail: float = TAIL  # standard deviation of the logarithm of work
     tries: int = 1  # of one matter in all, each as soon as a refusal allows
 
 
@@ -83,7 +84,7 @@
         kind = draw.choices(self.kinds, cum_weights=self.shares)[0]
         ident = f"{draw.getrandbits(64):016x}"
         key = draw.choices(range(len(self.weights)), cum_weights=self.weights)[0]
-        due = Due(at, kind, ident, key, drawn_work(draw))
+        due = Due(at, kind, ident, key, drawn_work(draw, habits.tail))
         # Each is drawn whether it matters or not: a habit more leaves the rest of the row as it was.
         leaves, after, slow, long, hint = (draw.random() for _ in range(5))
         noise = draw.lognormvariate(0.0, HINT_NOISE)
--- a/ochreflow/lab/model.py
+++ b/ochreflow/lab/model.py
@@ -13,6 +13,8 @@
 from typing import Any
 
 DONE = 1e-9  # seconds of work that are as good as none
+TAIL = 0.6  # standard deviation of the logarithm of work
+MOST_WORK = 12.0  # means of its class
 COLD_STEP = 0.05  # seconds after which the speed of a cold node is looked at again
 FORMS = ("", "extra", "interim", "cut", "garbled", "stalled")
 
@@ -235,8 +237,9 @@
         slots = self.traits.slots or self.traits.cores
         while self.waiting and len(self.running) < slots and not self.fallen:
             number, work = self.waiting.popleft()
-            self._note("began", work)
-            self.running[number] = Job(work, self._cost(work))
+            cost = self._cost(work)
+            self._note("began", work, cost=round(cost, 6))
+            self.running[number] = Job(work, cost)
         return self.acts
 
     def _take(self, number: int, work: Work) -> None:
@@ -287,6 +290,6 @@
         self.acts.append(Note(what, {"id": work.ident, "cls": work.cls, **more}))
 
 
-def drawn_work(source: random.Random) -> float:
-    """A piece of work in means of its class: about one, some far more."""
-    return min(source.lognormvariate(-0.18, 0.6), 6.0)
+def drawn_work(source: random.Random, tail: float = TAIL) -> float:
+    """A piece of work in means of its class: about one, some far more, the more the greater the tail."""
+    return min(source.lognormvariate(-tail * tail / 2, tail), MOST_WORK)
--- a/ochreflow/lab/report.py
+++ b/ochreflow/lab/report.py
@@ -89,12 +89,27 @@
     _shade(figure.axes, run["steps"], times[-1] + step / 2)
     for axes in figure.axes:
         axes.legend(loc="upper left", fontsize=7, ncols=4)
+    return picture(figure)
+
+
+def picture(figure: Any) -> str:
+    """A figure as PNG, in base64; it is closed."""
     target = io.BytesIO()
     figure.savefig(target, format="png", dpi=90, bbox_inches="tight")
     pyplot.close(figure)
     return base64.b64encode(target.getvalue()).decode()
 
 
+def page(title: str, plots: list[tuple[str, str]]) -> str:
+    """A page of pictures with a heading for each."""
+    parts = [
+        f"<!doctype html><meta charset=utf-8><title>{title}</title><style>{STYLE}</style><h1>{title}</h1>"
+    ]
+    for said, data in plots:
+        parts.append(f'<h2>{html.escape(said)}</h2><img alt="plot" src="data:image/png;base64,{data}">')
+    return "\n".join(parts)
+
+
 def _shade(all_axes: list[Any], steps: list[Any], end: float) -> None:
     """Shade the time from each step to the next, and say on top which it was."""
     edges = [at for at, _ in steps] + [end]
--- a/ochreflow/lab/scenario.py
+++ b/ochreflow/lab/scenario.py
@@ -42,6 +42,7 @@
     keys: Annotated[int, msgspec.Meta(ge=1)] = 64  # known at the most
     connections: Annotated[int, msgspec.Meta(ge=0)] = 0  # at the most; 0: any number
     pod: Annotated[int, msgspec.Meta(ge=1)] = 1  # nodes that drop each other's repeats
+    cold: bool = False  # from the start
     near: Annotated[int, msgspec.Meta(ge=0)] = 0  # nodes in the sidecars' own zone; 0: every second one
 
 
@@ -65,6 +66,7 @@
     long: Part = 0.0  # ... that bring a body of `long_bytes`
     long_bytes: Annotated[int, msgspec.Meta(ge=1)] = 200_000
     hinted: Part = 0.0  # ... that tell what the work will cost
+    tail: Annotated[float, msgspec.Meta(ge=0.0, le=2.0)] = 0.6  # of work: deviation of its logarithm
     tries: Annotated[int, msgspec.Meta(ge=1, le=8)] = 1  # of a client in all, as soon as a refusal allows
 
 
@@ -178,14 +180,16 @@
         for name, kind in scenario.kinds.items()
     ]
     load = scenario.load
-    habits = arrivals.Habits(load.leaving, load.slow, load.long, load.long_bytes, load.hinted, load.tries)
+    habits = arrivals.Habits(
+        load.leaving, load.slow, load.long, load.long_bytes, load.hinted, load.tail, load.tries
+    )
     return kinds, habits
 
 
 def node_traits(scenario: Scenario, name: str, cold: bool) -> dict[str, Any]:
     """What a node of its fleet is like, as the model takes it."""
     given = msgspec.structs.asdict(scenario.fleet)
-    for other in ("nodes", "pod", "near"):
+    for other in ("nodes", "pod", "near", "cold"):
         del given[other]
     work = {kind: made.work for kind, made in scenario.kinds.items()}
     return {**given, "name": name, "work": work, "warm_within": given["warm_within"] if cold else 0.0}
--- a/ochreflow/lab/stage.py
+++ b/ochreflow/lab/stage.py
@@ -234,9 +234,10 @@
         fleet = self.scenario.fleet
         numbers = range(1, fleet.nodes + 1)
         pods = [numbers[at : at + fleet.pod] for at in range(0, fleet.nodes, fleet.pod)]
-        made = ([self.node_options(number, False) for number in pod] for pod in pods)
+        made = ([self.node_options(number, fleet.cold) for number in pod] for pod in pods)
         await asyncio.gather(*(self.stand_ins("nodes", options) for options in made))
-        return [self.entry(number, 0) for number in numbers]
+        since = int(time() * 1000) if fleet.cold else 0
+        return [self.entry(number, since) for number in numbers]
 
     async def directory(self, address: str = "") -> None:
         """Start a directory with the list as it is, at an address that was used before if one is given."""
--- a/ochreflow/policy/logic.py
+++ b/ochreflow/policy/logic.py
@@ -109,6 +109,7 @@
 PACE = 1.2  # times the fair share of own answers, times the ramp
 PACE_EARN = 1.5  # requests allowed for each one answered: many servers warm by work, sooner than stated,
 # and with PACE this stays under the least fatal multiple for all sidecars together
+PACE_ALONE = 0.5  # of a core's work, times the ramp, whatever is answered elsewhere
 PACE_TRUST = 0.1  # requests more that may come at once for each one answered since the start
 PACE_TRUST_MOST = 3.0
 PACE_BURST = 0.25  # seconds of that pace may come at once
@@ -855,6 +856,8 @@
             self._heed(server, event.report, took / base)
         elif status is Status.FULL:
             self._sample(server, max(FULL_SAMPLE, server.rel))
+            if server.cold_at:
+                server.cold_tokens = min(server.cold_tokens, 0.0)  # what it turns away pushes it over too
             server.last_ok = self.now  # busy, but alive
             self._add_pressure(PRESSURE_FULL)
         elif status is Status.CANCELLED:
@@ -1038,7 +1041,10 @@
         # Those who do not sample it leave their part to those who do.
         among = self.ready_count - len(self.rest) if server not in self.rest else self.ready_count
         fair = self.rate * fade / max(among, 1)
-        pace = PACE * ramp * fair
+        # A fleet that is cold as a whole has answered nothing yet, and of nothing there is no fair share:
+        # what a part of one core does in the usual time is no push, from all sidecars together.
+        alone = PACE_ALONE * SECOND / (self._mean_usual() * self.settings.fleet_size)
+        pace = ramp * max(PACE * fair, alone)
         limit = max(1.0, pace * PACE_BURST) + min(server.samples * PACE_TRUST, PACE_TRUST_MOST)
         if not server.cold_at:
             # Part of a first token each: from none at all, hundreds of sidecars with little traffic would
@@ -1057,7 +1063,10 @@
 
     def _cost(self, cls: int) -> float:
         """The work of a class against the mean of the classes, by its usual latency."""
-        return self.usual[cls] * len(self.usual) / sum(self.usual)
+        return self.usual[cls] / self._mean_usual()
+
+    def _mean_usual(self) -> float:
+        return sum(self.usual) / len(self.usual)
 
     # Admission
 
--- a/ochreflow/rehearsal/play.py
+++ b/ochreflow/rehearsal/play.py
@@ -133,6 +133,7 @@
         self.sidecars: dict[int, Sidecar] = {}
         self.clients: list[Memory] = []
         self.started = 0
+        self.drawn: dict[str, tuple[float, float, str]] = {}  # what is wanted: work, when, class
 
     def ledger(self, name: str) -> Memory:
         """The ledger of that name; a node that comes again under its name goes on with its own."""
@@ -168,6 +169,7 @@
 
     def _offered(self, arrivals: Any, due: Due, number: int) -> None:
         self.offer(arrivals, number)
+        self.drawn[due.ident] = due.work * due.kind.work, due.at, due.kind.name
         self._try(due, number, 0, self.clock.now)
 
     def _try(self, due: Due, number: int, count: int, begin: int) -> None:
@@ -257,7 +259,7 @@
     def run(self, tick: Callable[[float], None] = lambda seconds: None) -> Played:
         scenario = self.scenario
         for number in range(1, scenario.fleet.nodes + 1):
-            one = self.node(number, cold=False)
+            one = self.node(number, cold=scenario.fleet.cold)
             self.list.entries[one["name"]] = one
         self.stage.note("begin")
         kinds, habits = arriving(scenario)
--- /dev/null
+++ b/tests/test_trace.py
@@ -0,0 +1,56 @@
+"""Courses of the limit: what is traced, and the cold start that the traces found to be an outage."""
+
+import msgspec
+import pytest
+from test_operator_file import command
+
+from ochreflow.rehearsal.courses import COURSES
+from ochreflow.rehearsal.play import rehearse
+from ochreflow.rehearsal.trace import trace
+
+replace = msgspec.structs.replace
+
+
+def cold(sidecars, cores, rate, **fleet):
+    course = COURSES["cold start"][0]
+    made = replace(course, sidecars=sidecars, load=replace(course.load, rate=rate))
+    return replace(made, fleet=replace(course.fleet, cores=cores, **fleet))
+
+
+@pytest.mark.parametrize(("sidecars", "cores"), [(1, 2), (4, 2), (16, 4)])
+def test_a_fleet_that_is_cold_as_a_whole_is_put_to_work_at_once(sidecars, cores):
+    """With no answer there was no pace, and with no pace no answer, until the fleet was warm by its clock."""
+    played = rehearse(cold(sidecars, cores, 65.0 * cores), 1)
+    assert played.verdict == 0
+    took = [time for matters in played.report.matters.values() for time in matters.values()]
+    assert sum(time is not None for time in took) > 0.9 * len(took)
+
+
+@pytest.mark.parametrize(("sidecars", "cores"), [(1, 1), (4, 1), (1, 4), (16, 4)])
+def test_no_cold_fleet_is_pushed_over_by_far_more_than_it_can_bear(sidecars, cores):
+    given = cold(sidecars, cores, 300.0 * cores, warm_within=30.0, start_capacity=0.05)
+    assert not rehearse(replace(given, seconds=16.0), 1).report.findings
+
+
+def test_a_trace_counts_every_request_once_and_the_oracle_knows_the_fleet():
+    course, ended = COURSES["step"]
+    made, figures = trace(course, 2, ended)
+    assert len(made.limit) == len(made.offered) == 60
+    assert sum(made.offered) == figures.offered > 10_000
+    for at, offered in enumerate(made.offered):
+        assert made.in_time[at] <= made.admitted[at] <= offered >= made.oracle[at]
+    assert 0.8 < figures.oracle / figures.offered < 1.0  # the step is more than the fleet can do
+    calm = [at for at in range(60) if at < 16]
+    assert all(made.oracle[at] == made.offered[at] for at in calm)
+    slow, _ = trace(replace(course, fleet=replace(course.fleet, cores=1)), 2, ended)
+    assert sum(slow.oracle) < 0.8 * sum(made.oracle)
+
+
+def test_the_command_traces_and_plots(tmp_path):
+    html = tmp_path / "t.html"
+    done = command("lab", "trace", "few", "--seeds", "2", "--jobs", "2", "--html", str(html))
+    assert done.returncode == 0, done.stderr
+    assert done.stdout.splitlines()[1].startswith("few ") and "1.0000" in done.stdout
+    assert html.read_text().count("data:image/png;base64,") == 1
+    done = command("lab", "trace", "none")
+    assert done.returncode == 2 and "no such course" in done.stderr and done.stderr.count("\n") == 1
