Put a gate before clients' connections: caps, standing, and places kept for the known

Need: connections were let go by age and silence alone; a crowd of silent or half-written sockets pushed out the quiet connections of usual clients, and nothing was kept by address.

Change: `ochreflow.admission`, pure and off by default: caps by address and prefix, a rate by a sketch in fixed memory, standing earned by answered requests that widens caps and ages, a part of all places kept for known addresses, and one rank for who goes. `[admission]` in the operator's file, `ochreflow admission show`, a log line with the reason.

Under any events known clients never go first and the kept part is never taken by others (hypothesis).

--- /dev/null
+++ b/benchmarks/flood.py
@@ -0,0 +1,120 @@
+"""A flood of sockets against a real sidecar, with the gate and without: do its usual clients notice?
+
+    python benchmarks/flood.py [--sockets 2000]
+
+Plays a steady load from one address through a stand-in node, while sockets from 250 other addresses of
+loopback connect and say nothing or half a head, each anew as soon as it is refused. Prints one JSON object:
+the share answered in the wanted time and the p99, without a flood, and with it with the gate off and on.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import socket
+import tempfile
+from pathlib import Path
+
+import msgspec
+import uvloop
+
+from ochreflow.lab.scenario import Scenario, read_scenario
+from ochreflow.lab.stage import MEANS, Stage, usage
+
+HOST = "127.0.0.1"
+SECONDS = 8.0
+ADDRESSES = 250
+HALF = b"POST /assign/flags HTTP/1.1\r\nHost: x\r\nX-Req"
+GATE = "[admission]\non = true\n"
+
+
+class Flood:
+    """So many sockets, each connected again as soon as it has ended."""
+
+    def __init__(self, port: int, sockets: int) -> None:
+        self.port = port
+        self.sockets = sockets
+        self.connects = 0
+
+    async def run(self) -> None:
+        await asyncio.gather(*(self._one(number) for number in range(self.sockets)))
+
+    async def _one(self, number: int) -> None:
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(number / self.sockets)  # all within a second
+        while True:
+            with contextlib.suppress(OSError), socket.socket() as made:
+                made.setblocking(False)
+                made.bind((f"127.{1 + number % ADDRESSES}.{number % 7}.1", 0))
+                await loop.sock_connect(made, (HOST, self.port))
+                self.connects += 1
+                if number % 2:
+                    await loop.sock_sendall(made, HALF)
+                while await loop.sock_recv(made, 4096):
+                    pass
+            await asyncio.sleep(0.2)
+
+
+async def play(scenario: Scenario, folder: Path, sockets: int, gated: bool) -> dict[str, object]:
+    stage = Stage(scenario, folder, 1)
+    flood: asyncio.Task[None] | None = None
+    if gated:
+        (folder / "operator.toml").write_text(GATE)
+        stage.options = ("--config", str(folder / "operator.toml"))
+    most: dict[str, float] = {}
+
+    async def watch() -> None:
+        """Start the flood with the load, and look at what the sidecar holds."""
+        nonlocal flood
+        while "sidecar-1" not in stage.addresses or not stage.loads:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(1.0)  # the usual clients have been there before
+        made = Flood(int(stage.addresses["sidecar-1"].rpartition(":")[2]), sockets)
+        flood = asyncio.create_task(made.run())
+        while True:
+            for name, value in usage(stage.processes["sidecar-1"].pid).items():
+                most[name] = max(most.get(name, 0.0), value)
+            most["connects"] = made.connects
+            await asyncio.sleep(0.1)
+
+    watching = asyncio.create_task(watch())
+    played = await stage.run()
+    watching.cancel()
+    if flood is not None:
+        flood.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await flood
+    wanted = {name: kind.wanted for name, kind in scenario.kinds.items()}
+    took = [(kind, time) for kind, one in played.report.matters.items() for time in one.values()]
+    in_time = sum(time is not None and time <= wanted[kind] for kind, time in took)
+    p99 = max(found.percentile(0.99) for found in played.report.latency.values())
+    return {
+        "asked": len(took),
+        "in_time": round(in_time / len(took), 4),
+        "p99_ms": round(p99 * 1000),
+        "unanswered": sum(counts["lost"] for counts in played.report.by_class.values()),
+        "crashed": played.crashed,
+        **most,
+    }
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sockets", type=int, default=2000)
+    given = parser.parse_args()
+    scenario = msgspec.structs.replace(read_scenario("quiet"), seconds=SECONDS)
+    result: dict[str, object] = {"descriptors": MEANS["sockets"], "sockets": given.sockets}
+    for name, sockets, gated in (
+        ("no flood", 0, False),
+        ("flood, gate off", given.sockets, False),
+        ("flood, gate on", given.sockets, True),
+    ):
+        with tempfile.TemporaryDirectory() as folder:
+            result[name] = uvloop.run(play(scenario, Path(folder), sockets, gated))
+    print(json.dumps(result, indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- a/ochreflow/app/operator.py
+++ b/ochreflow/app/operator.py
@@ -65,6 +65,19 @@
     slow_reader: Annotated[Seconds, Within(0.1, 600)] = Seconds(SLOW_READER)
 
 
+class AdmissionTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Caps on clients' connections by address; see `ochreflow.admission.gate.Caps`."""
+
+    on: Annotated[bool, Fixed("addresses are counted from the start")] = False
+    open: Annotated[int, Within(1, 1_000_000)] = 64
+    half_written: Annotated[int, Within(1, 1_000_000)] = 16
+    new_per_second: Annotated[float, Within(0.1, 1_000_000)] = 50.0
+    prefix_times: Annotated[float, Within(1, 1_000_000)] = 4.0
+    known_part: Annotated[float, Within(0, 0.9)] = 0.25
+    half_life: Annotated[Seconds, Within(1, 86_400)] = Seconds(60)
+    remembered: Annotated[int, Within(16, 1_000_000)] = 4096
+
+
 class OperatorFile(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The whole file; a table that is not there has its defaults."""
 
@@ -72,6 +85,7 @@
     operators: OperatorsTable = OperatorsTable()
     limits: LimitsTable = LimitsTable()
     clients: ClientsTable = ClientsTable()
+    admission: AdmissionTable = AdmissionTable()
 
 
 class FaultsError(Exception):
@@ -196,7 +210,8 @@
         if unit is not None:
             written = Annotated[str, msgspec.Meta(pattern=unit.pattern, description=unit.wanted)]
         elif bounds is not None:
-            written = Annotated[int, msgspec.Meta(ge=bounds.least, le=bounds.most)]
+            number = float if plain is float else int
+            written = Annotated[number, msgspec.Meta(ge=bounds.least, le=bounds.most)]
         if default is None:  # TOML has no word for nothing: the key is left out
             fields.append((key, written | msgspec.UnsetType, msgspec.UNSET))
         else:
--- a/ochreflow/app/reload.py
+++ b/ochreflow/app/reload.py
@@ -4,16 +4,18 @@
 
 import asyncio
 from dataclasses import dataclass
+from time import monotonic
 from typing import TYPE_CHECKING, Any
 
 from ..core.log import Sink, log, plain
 from ..core.ports import Address
+from ..http.clients import Client
 from ..http.management import Management
 from .config import Config, ConfigError, read_config
 from .sidecar import Sidecar
 
 if TYPE_CHECKING:
-    from .operator import OperatorFile
+    from .operator import AdmissionTable, OperatorFile
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,3 +139,19 @@
         times.head = file.clients.head_within
         times.idle = file.clients.idle
         times.slow_reader = file.clients.slow_reader
+        if file.admission.on:
+            self._take_admission(file.admission)
+
+    def _take_admission(self, table: AdmissionTable) -> None:
+        """Put the gate before clients' connections, or give it other caps."""
+        from ..admission.gate import Caps, Gate
+        from ..admission.show import told
+
+        caps = Caps(**{name: getattr(table, name) for name in Caps.__slots__})
+        clients = self.sidecar.http.clients
+        if isinstance(clients.gate, Gate):
+            clients.gate.caps = caps
+            return
+        gate: Gate[Client] = Gate(caps, lambda: clients.descriptors.clients)
+        clients.gate = gate
+        self.management.routes[b"/admission"] = (b"GET", lambda: (200, told(gate, monotonic())))
--- a/ochreflow/cli/main.py
+++ b/ochreflow/cli/main.py
@@ -123,6 +123,24 @@
     return _order(address, "/healthcheck/ok", "serving")
 
 
+@ochreflow.group(epilog=_example("ochreflow admission show 127.0.0.1:9100"))
+def admission() -> None:
+    """The gate for clients' connections, where [admission] is on."""
+
+
+@admission.command(name="show", epilog=_example("ochreflow admission show 127.0.0.1:9100"))
+@click.argument("address")
+def admission_show(address: str) -> int:
+    """Print caps, refusals with their reasons, and the addresses with most connections."""
+    code, said = _call("GET", address, "/admission")
+    if code == 404:
+        raise click.ClickException(f"{address}: admission is off in its operator's file")
+    if code != 200:
+        raise click.ClickException(f"{address} says no: {said.strip()}")
+    click.echo(said, nl=False)
+    return 0
+
+
 @ochreflow.command(epilog=_example("ochreflow demo --seconds 20"))
 @click.option("--seconds", type=click.FloatRange(5, 600), default=20.0, show_default=True)
 @click.option("--seed", type=int, default=1, show_default=True, help="Of the load and the nodes.")
--- a/ochreflow/core/log.py
+++ b/ochreflow/core/log.py
@@ -32,6 +32,7 @@
     "overlap_unreadable": "another process said what can't be read; it is left alone",
     "overlap_began": "process {process} serves beside this one",
     "overlap_ended": "process {process} is gone",
+    "connection_refused": "a connection from {address} was refused: {reason}",
     "module": "{said}",
     "verdict": "{front} request {request} {outcome}: {reason}",
     "attempt": "{front} request {request} attempt {attempt} at server {server}: {status}",
--- a/ochreflow/http/clients.py
+++ b/ochreflow/http/clients.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from itertools import takewhile
 from time import monotonic
-from typing import Protocol
+from typing import Any, Protocol
 
 from ..core.limits import Descriptors
+from ..core.log import log
 
 HEAD_MOST = 2.6  # seconds from connecting, or from a message's first byte, until its head has come
 BODY_RATE_LEAST = 32_000  # bytes of a body a second, looked at as seldom: clients may send 64 kB a second
@@ -45,6 +47,9 @@
     @property
     def quiet(self) -> bool: ...
 
+    @property
+    def host(self) -> str: ...
+
     def came_since_look(self) -> int | None: ...
 
     def expire(self) -> None: ...
@@ -52,6 +57,25 @@
     def close(self) -> None: ...
 
 
+class Refusal(Protocol):
+    @property
+    def value(self) -> Any: ...
+
+
+class Gate(Protocol):
+    """What decides on connections by their addresses, where that is asked for; see `ochreflow.admission`."""
+
+    def open(self, now: float, key: Client, address: str) -> Refusal | None: ...
+
+    def half_written(self, now: float, key: Client, half: bool) -> Client | None: ...
+
+    def completed(self, now: float, key: Client) -> None: ...
+
+    def close(self, key: Client) -> None: ...
+
+    def first_to_go(self, now: float, keys: Iterable[Client]) -> Client: ...
+
+
 class Clients:
     """Every connection is in `waited` while a message is owed, in `idle` when nothing is, or in neither.
 
@@ -62,13 +86,20 @@
     def __init__(self, descriptors: Descriptors) -> None:
         self.descriptors = descriptors
         self.times = Times()
+        self.gate: Gate | None = None
         self.all: dict[Client, None] = {}
         self.waited: dict[Client, float] = {}
         self.heard: dict[Client, float] = {}
         self.idle: dict[Client, float] = {}
 
     def add(self, client: Client) -> None:
-        """Take up a new connection; over the clients' share, one of them goes."""
+        """Take up a new connection, if it is let in; over the clients' share, one of them goes."""
+        if self.gate is not None:
+            refusal = self.gate.open(monotonic(), client, client.host)
+            if refusal is not None:
+                log.info("connection_refused", address=client.host, reason=refusal.value)
+                client.close()
+                return
         self.all[client] = None
         self.descriptors.held += 1
         self.descriptors.connected += 1
@@ -85,6 +116,9 @@
             self.descriptors.held -= 1
             self.descriptors.connected -= 1
 
+        if self.gate is not None:
+            self.gate.close(client)
+
     def _forget(self, client: Client) -> None:
         for places in (self.waited, self.heard, self.idle):
             places.pop(client, None)
@@ -102,11 +136,24 @@
             self.waited.setdefault(client, now)
             self.heard.pop(client, None)
             self.heard[client] = now
+            if self.gate is not None:
+                self._too_many(self.gate, now, client)
         elif client.asked:
             self.waited.pop(client, None)
             self.heard.pop(client, None)
             if client.idle:
                 self.idle[client] = monotonic()
+            if self.gate is not None:
+                self.gate.half_written(monotonic(), client, False)
+                if client.idle:
+                    self.gate.completed(monotonic(), client)
+
+    def _too_many(self, gate: Gate, now: float, client: Client) -> None:
+        """A message has begun: its address may owe too many of them, and the oldest goes."""
+        late = gate.half_written(now, client, True)
+        if late is not None and late is not client:
+            self._forget(late)
+            late.expire()
 
     def _one_to_leave(self, new: Client) -> Client:
         """Guards the usual clients, slow ones too, against those that connect by hundreds and say nothing.
@@ -115,6 +162,9 @@
         at all, one of these; then who was answered longest ago and can come again.
         """
         now = monotonic()
+        if self.gate is not None:
+            could = [one for one in self.all if not one.serving and (one in self.heard or one.quiet)]
+            return self.gate.first_to_go(now, could or [new])
         owing = [client for client in self.heard if not client.serving]  # the new one at the latest
         if self.heard[owing[0]] <= now - STALE:
             return owing[0]
--- a/ochreflow/http/connection.py
+++ b/ochreflow/http/connection.py
@@ -188,6 +188,12 @@
             return False
         return unread(self.transport) == 0
 
+    @property
+    def host(self) -> str:
+        """Where its client is; empty where that can't be told."""
+        peer = self.transport.get_extra_info("peername") if self.transport is not None else None
+        return str(peer[0]) if isinstance(peer, tuple) else ""
+
     def came_since_look(self) -> int | None:
         """Bytes of the body that is coming; None if some of the time nothing was read."""
         size = self.body.size if self.body is not None else 0
--- a/ochreflow/lab/stage.py
+++ b/ochreflow/lab/stage.py
@@ -177,6 +177,7 @@
         self.shared = tempfile.mkdtemp(prefix="lab-") if self.overlapping else ""
         self.loads: list[Load] = []
         self.said = "all is well"
+        self.options: tuple[str, ...] = ()  # more of the sidecars' command line
         self.ledger = Ledger(folder / "stage.jsonl")
         self.expected: set[str] = set()  # processes that were killed on purpose
         self.crashed: list[str] = []
@@ -267,7 +268,7 @@
             listening = self.sockets.get(number) or socket.create_server((HOST, 0), backlog=512)
             self.sockets[number] = listening
             more = {"GW_FD": str(listening.fileno()), "TMPDIR": self.shared}
-        process = await self.start(name, "-m", "ochreflow", GW_CONFIG=str(path), **more)
+        process = await self.start(name, "-m", "ochreflow", *self.options, GW_CONFIG=str(path), **more)
         log = self.folder / f"{name}.log"
         async with asyncio.timeout(START_WITHIN):
             while " listens at " not in log.read_text():
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,250 @@
+"""The gate by itself, its properties under any order of events, and at the door of a real sidecar."""
+
+import asyncio
+import signal
+import socket
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from net_helpers import HOST, WAIT, Fake, Sidecar, answer_ok, ask, config, entry, message, news, run
+from test_operator_file import command
+from test_process import Process
+
+from ochreflow.admission.gate import KNOWN_AT, Caps, Gate, Why, prefix_of
+from ochreflow.admission.show import told
+from ochreflow.admission.sketch import Sketch
+
+PLACES = 40
+
+
+def gate(places=PLACES, **caps):
+    return Gate(Caps(**{"open": 4, "half_written": 2, "new_per_second": 1000.0, **caps}), lambda: places)
+
+
+def earn(one, now, key, times=20):
+    for _ in range(times):
+        one.completed(now, key)
+
+
+def test_an_address_has_its_caps_and_standing_widens_them_until_it_ages():
+    one = gate(places=1000)
+    assert [one.open(0.0, n, "10.0.0.1") for n in range(5)] == [None] * 4 + [Why.OPEN]
+    earn(one, 0.0, 0, 200)  # a gateway: many good clients
+    assert [one.open(0.0, n, "10.0.0.1") for n in range(10, 50)].count(None) == 40
+    assert one.open(0.0, 99, "10.0.0.2") is None  # its prefix is crowded by a known address
+    assert one.open(1200.0, 100, "10.0.0.1") is Why.OPEN  # twenty half-lives later
+
+
+def test_a_prefix_has_caps_for_addresses_that_nobody_knows():
+    one = gate(places=1000, prefix_times=2.0)
+    assert [one.open(0.0, n, f"10.0.0.{n}") for n in range(9)].count(Why.PREFIX) == 1
+    assert one.open(0.0, 20, "10.0.1.1") is None
+    one.close(0)
+    assert one.open(0.0, 21, "10.0.0.77") is None
+
+
+def test_who_opens_too_fast_is_refused_and_after_a_while_let_in():
+    one = gate(places=1000, open=100, new_per_second=5.0)
+    verdicts = [one.open(10.0, n, "10.0.0.1") for n in range(8)]
+    assert verdicts == [None] * 5 + [Why.RATE] * 3
+    assert one.open(13.0, 9, "10.0.0.1") is None
+
+
+def test_of_half_written_ones_the_oldest_of_the_address_goes():
+    one = gate()
+    for n in range(3):
+        one.open(0.0, n, "10.0.0.1")
+    assert one.half_written(0.0, 2, True) == 0
+    one.half_written(0.0, 0, False)
+    assert one.half_written(0.0, 2, True) is None
+    one.open(0.0, 7, "10.0.0.2")
+    assert one.half_written(0.0, 7, True) is None  # another address
+
+
+def test_unknown_ones_go_before_known_ones_and_the_crowd_before_the_single():
+    one = gate()
+    for key, address in (("k1", "10.0.0.1"), ("k2", "10.0.0.1"), ("u1", "10.0.1.1"), ("u2", "10.0.2.1")):
+        one.open(0.0, key, address)
+    one.open(0.0, "u3", "10.0.2.1")
+    earn(one, 0.0, "k1")
+    one.half_written(0.0, "k1", False)
+    one.half_written(0.0, "u1", False)
+    order = []
+    left = ["k1", "k2", "u1", "u2", "u3"]
+    while left:
+        order.append(one.first_to_go(0.0, left))
+        left.remove(order[-1])
+        one.close(order[-1])
+    assert order == ["u2", "u3", "u1", "k2", "k1"]
+
+
+class Watched:
+    """A gate under any events, held against what they should come to."""
+
+    def __init__(self):
+        self.gate = gate()
+        self.now = 0.0
+        self.open = {}
+        self.next = 0
+
+    def known(self, address):
+        found = self.gate.addresses.get(address)
+        return found is not None and self.gate._known(self.now, found)
+
+    def step(self, what, number, address):
+        self.now += 0.01 * number
+        keys = list(self.open)
+        key = keys[number % len(keys)] if keys else None
+        if what == "open":
+            if len(self.open) >= PLACES:  # as the front does: one goes for the new one
+                gone = self.gate.first_to_go(self.now, keys)
+                if self.known(self.open[gone]):
+                    assert all(self.known(address) for address in self.open.values())
+                self.gate.close(gone)
+                del self.open[gone]
+            self.next += 1
+            if self.gate.open(self.now, self.next, address) is None:
+                self.open[self.next] = address
+                if not self.known(address):
+                    caps = self.gate.caps
+                    assert list(self.open.values()).count(address) <= caps.open * 2
+                    assert self.gate.unknown_open(self.now) <= PLACES * (1 - caps.known_part)
+        elif key is not None and what == "close":
+            self.gate.close(key)
+            del self.open[key]
+        elif key is not None and what == "complete":
+            earn(self.gate, self.now, key, number)
+        elif key is not None:
+            late = self.gate.half_written(self.now, key, what == "half")
+            assert late is None or self.open[late] == self.open[key]
+        one = self.gate
+        assert set(one.of) == set(self.open)
+        assert sum(found.open for found in one.addresses.values()) == len(self.open)
+        assert sum(map(len, one.prefixes.values())) == len(one.addresses)
+        assert all(found.open for found in one.addresses.values()) and len(one.absent) <= one.caps.remembered
+
+
+EVENTS = st.tuples(
+    st.sampled_from(["open", "open", "open", "close", "complete", "half", "whole"]),
+    st.integers(0, 9),
+    st.sampled_from([f"10.0.{n % 4}.{n}" for n in range(24)]),
+)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.lists(EVENTS, max_size=120))
+def test_under_any_events_the_books_are_right_and_no_known_client_goes_first(events):
+    watched = Watched()
+    for event in events:
+        watched.step(*event)
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.integers(0, 40), st.floats(0.0, 0.3)), max_size=200))
+def test_the_sketch_never_counts_too_little(events):
+    sketch, now, seen = Sketch(), 0.0, []
+    for number, gap in events:
+        now += gap
+        seen.append((now, number))
+        assert sketch.add(str(number), now) >= sum(n == number and at >= sketch.begun for at, n in seen)
+
+
+def test_memory_is_bounded_whatever_addresses_come():
+    one = gate(places=1000, remembered=100)
+    for number in range(50_000):
+        address = f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}"
+        if one.open(number * 0.1, number, address) is None:
+            if number % 3 == 0:
+                one.completed(number * 0.1, number)
+            one.close(number)
+    assert not one.of and not one.addresses and not one.prefixes
+    assert len(one.absent) == 100
+
+
+@pytest.mark.parametrize(
+    ("address", "prefix"),
+    [("10.1.2.3", "10.1.2.0/24"), ("2001:db8:1::9", "2001:db8:1::/48"), ("", ""), ("odd", "odd")],
+)
+def test_prefixes(address, prefix):
+    assert prefix_of(address) == prefix
+
+
+def connected(port, host):
+    """A connection from an address of one's own choice on loopback."""
+    made = socket.socket()
+    made.bind((host, 0))
+    made.setblocking(False)
+    return made
+
+
+def test_a_flood_of_silent_sockets_leaves_the_known_clients_their_places(tmp_path):
+    async def play():
+        node = await Fake(answer_ok).start()
+        given = config(news(1, entry("a", node.address)))
+        given["limits"]["sockets"] = 200
+        async with Sidecar(tmp_path / "c", given) as sidecar:
+            clients = sidecar.http.clients
+            places = clients.descriptors.clients
+            clients.gate = Gate(Caps(new_per_second=1e6, known_part=0.3), lambda: places)
+            for n in range(8):  # so that the address of the good client is known
+                assert (await ask(sidecar.port, message("lookup", f"k{n}"))).code == 200
+            loop = asyncio.get_running_loop()
+            flood = [connected(sidecar.port, f"127.0.{n % 40 + 2}.1") for n in range(4 * places)]
+            for one in flood:
+                await loop.sock_connect(one, (HOST, sidecar.port))
+            async with asyncio.timeout(WAIT):
+                while clients.gate.refused.total() < 2 * places:
+                    await asyncio.sleep(0.005)
+            assert clients.gate.unknown_open(loop.time()) <= places * 0.7
+            got = await asyncio.gather(*(ask(sidecar.port, message("lookup", f"g{n}")) for n in range(5)))
+            assert [one.code for one in got] == [200] * 5
+            said = told(clients.gate, loop.time())
+            assert Why.KEPT.value in said and f"\n{HOST} " in said
+            for one in flood:
+                one.close()
+
+    run(play())
+
+
+def test_operators_turn_it_on_see_it_and_change_its_caps(tmp_path):
+    async def play():
+        file = tmp_path / "o.toml"
+        file.write_text('[operators]\nlisten = "127.0.0.1:0"\n[admission]\non = true\nopen = 3\n')
+        node = await Fake(answer_ok).start()
+        process = Process(tmp_path / "c", config(news(1, entry("s1", node.address))))
+        process.arguments = ["--config", str(file)]
+        async with process:
+            operators = f"{HOST}:{process.operators}"
+            assert (await ask(process.port, message("lookup", "a"))).code == 200
+            held = [await asyncio.open_connection(HOST, process.port) for _ in range(4)]
+            await process.heard(b"refused: address has too many open")
+            said = await asyncio.to_thread(command, "admission", "show", operators)
+            assert said.returncode == 0 and ", address has too many open" in said.stdout
+            assert "caps of an address: 3 open" in said.stdout
+            file.write_text(file.read_text().replace("open = 3", "open = 30"))
+            process.process.send_signal(signal.SIGHUP)
+            await process.heard(b"read again: admission.open")
+            assert (await ask(process.port, message("lookup", "b"))).code == 200
+            file.write_text(file.read_text().replace("on = true", "on = false"))
+            process.process.send_signal(signal.SIGHUP)
+            await process.heard(b"can't change while running: admission.on")
+            for _, writer in held:
+                writer.close()
+        off = Process(tmp_path / "c", config(news(1, entry("s1", node.address))))
+        file.write_text('[operators]\nlisten = "127.0.0.1:0"\n')
+        off.arguments = ["--config", str(file)]
+        async with off:
+            said = await asyncio.to_thread(command, "admission", "show", f"{HOST}:{off.operators}")
+            assert said.returncode == 1 and "admission is off" in said.stderr
+
+    run(play())
+
+
+def test_known_is_what_the_docs_say():
+    one = gate()
+    one.open(0.0, 1, "10.0.0.1")
+    earn(one, 0.0, 1, int(KNOWN_AT) - 1)
+    assert one.unknown_open(0.0) == 1
+    earn(one, 0.0, 1, 1)
+    assert one.unknown_open(0.0) == 0
