Let nodes of a pod drop each other's repeats in simulated time too

Cause: a last reading found that a rehearsal gave each node a memory of its own for repeats, though a scenario may put several into one pod; on sockets they share it.

Change: nodes that are there from the begin share the memory of their pod; one that comes later has its own, as its process has. Two fields that nothing used are gone. The program itself is unchanged.

--- a/ochreflow/rehearsal/nodes.py
+++ b/ochreflow/rehearsal/nodes.py
@@ -6,7 +6,7 @@
 from functools import partial
 
 from ..lab.ledger import Memory
-from ..lab.model import Cut, Fall, Model, Note, Reply, Traits, Work
+from ..lab.model import Cut, Fall, Model, Note, Pod, Reply, Traits, Work
 from .clock import Clock
 
 HOP = 0.0002  # seconds that a message takes one way
@@ -17,10 +17,10 @@
 class Node:
     """One node; it may be killed and never comes back as the same."""
 
-    def __init__(self, traits: Traits, seed: int, clock: Clock, ledger: Memory) -> None:
+    def __init__(self, traits: Traits, seed: int, clock: Clock, ledger: Memory, pod: Pod) -> None:
         self.clock = clock
         self.ledger = ledger
-        self.model = Model(traits, seed, clock.seconds)
+        self.model = Model(traits, seed, clock.seconds, pod)
         self.alive = True
         self.number = 0
         self.asking: dict[int, Told] = {}
--- a/ochreflow/rehearsal/play.py
+++ b/ochreflow/rehearsal/play.py
@@ -14,7 +14,7 @@
 from ..lab.judge import judge
 from ..lab.ledger import Memory
 from ..lab.load import ANSWER_SLACK, LEAST_LEFT
-from ..lab.model import Traits
+from ..lab.model import Pod, Traits
 from ..lab.scenario import Scenario, Step, arriving, node_traits, times
 from ..lab.series import series
 from ..lab.stage import MEANS, STATUSES, TROUBLES, Played, entry, platform_config
@@ -133,6 +133,7 @@
         self.sidecars: dict[int, Sidecar] = {}
         self.clients: list[Memory] = []
         self.started = 0
+        self.pods: dict[int, Pod] = {}  # of those that are there from the begin
         self.drawn: dict[str, tuple[float, float, str]] = {}  # what is wanted: work, when, class
 
     def ledger(self, name: str) -> Memory:
@@ -146,9 +147,13 @@
         name = f"node-{number}"
         traits = Traits(**node_traits(self.scenario, name, cold))
         seed = self.seed * 1000 + number + (100_000 if cold else 0)
-        self.list.nodes[name] = Node(traits, seed, self.clock, self.ledger(name))
         since = self.clock.now // 1_000_000 if cold else 0
-        return entry(self.scenario, number, name, since)
+        made = entry(self.scenario, number, name, since)
+        # One that comes back under its name has forgotten what it would drop, as its process has.
+        alone = cold and not self.scenario.fleet.cold
+        pod = Pod() if alone else self.pods.setdefault(made["group"], Pod())
+        self.list.nodes[name] = Node(traits, seed, self.clock, self.ledger(name), pod)
+        return made
 
     def sidecar(self, number: int) -> None:
         given = platform_config(self.scenario, number, "", "", [])["settings"]
--- a/ochreflow/rehearsal/sidecar.py
+++ b/ochreflow/rehearsal/sidecar.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 from ..lab.arrivals import Due
@@ -52,7 +52,6 @@
     sent: int
     node: Node | None = None
     number: int = 0
-    ends: list[str] = field(default_factory=list)  # one, once it is over
 
 
 class Sidecar:
@@ -71,7 +70,6 @@
         self.held: dict[int, Held] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.next_id = 1
-        self.watching = False
         self.events: list[Any] = []
         self.handling = False
 
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -6,7 +6,7 @@
 
 from ochreflow.lab.scenario import names, read_scenario
 from ochreflow.rehearsal.build import load
-from ochreflow.rehearsal.play import rehearse
+from ochreflow.rehearsal.play import Rehearsal, rehearse
 
 OF_THE_MODULE = [rule for rule, (file, *_) in SABOTAGE.items() if file.startswith("policy/")]
 
@@ -58,3 +58,10 @@
     with pytest.raises(FileNotFoundError, match="no decision module"):
         load(tmp_path)
     assert load(None) is not load(None) and load(None).logic is load(None).logic
+
+
+def test_nodes_of_a_pod_drop_each_other_s_repeats():
+    pods = Rehearsal(read_scenario("odd-clients"), 1, load(None))
+    pods.run()
+    nodes = pods.list.nodes
+    assert nodes["node-1"].model.pod is nodes["node-2"].model.pod is not nodes["node-3"].model.pod
