--- a/ochreflow/admission/gate.py
+++ b/ochreflow/admission/gate.py
@@ -176,7 +176,7 @@
     def _why_not(self, now: float, one: Address[Key]) -> Why | None:
         caps, wider = self.caps, self._wider(now, one)
         new = self.rates.add(one.name, now)
-        new_of_prefix = self.rates.add(one.prefix, now)
+        new_of_prefix = self.rates.add(f"prefix {one.prefix}", now)  # its own name: some are their own prefix
         known = self._known(now, one)
         if one.open >= int(caps.open * wider):
             return Why.OPEN
--- a/ochreflow/lab/stage.py
+++ b/ochreflow/lab/stage.py
@@ -36,7 +36,8 @@
 REPEATS = {"keyed": "token", "unsafe": "side_effect", "safe": "pure"}
 MEANS = {"memory_mb": 192, "sockets": 1024}  # of one sidecar
 LOOK_EVERY = 0.25  # seconds between looks at what sidecars use
-CELLS = {"zones": ["amman", "aqaba"], "kind": "gen3"}
+ZONES = ["amman", "aqaba"]
+KIND = "gen3"
 
 
 @dataclass(slots=True)
@@ -98,8 +99,8 @@
                 }
                 for name, kind in scenario.kinds.items()
             ],
-            "dcs": CELLS["zones"],
-            "kinds": [CELLS["kind"]],
+            "dcs": ZONES,
+            "kinds": [KIND],
             "my-zone": 0,
             "index": number,
             "discovery": "ask",
@@ -136,8 +137,8 @@
     return {
         "name": f"node-{number}",
         "address": address,
-        "zone": CELLS["zones"][far],
-        "type": CELLS["kind"],
+        "zone": ZONES[far],
+        "type": KIND,
         "group": 1 + (number - 1) // fleet.pod if number <= fleet.nodes else 1000 + number,
         "status": "SERVING",
         "weight": 1.0,
--- a/ochreflow/rehearsal/play.py
+++ b/ochreflow/rehearsal/play.py
@@ -17,7 +17,7 @@
 from ..lab.model import Pod, Traits
 from ..lab.scenario import Scenario, Step, arriving, node_traits, times
 from ..lab.series import series
-from ..lab.stage import MEANS, STATUSES, TROUBLES, Played, entry, platform_config
+from ..lab.stage import MEANS, STATUSES, TROUBLES, ZONES, Played, entry, platform_config
 from .build import Policy, load
 from .clock import BEGIN, SECOND, Clock
 from .nodes import HOP, Node
@@ -110,7 +110,7 @@
         states = {"SERVING": self.api.State.READY, "DRAINING": self.api.State.DRAINING}
         return self.api.Endpoint(
             self.number(one["name"]),
-            0 if one["zone"] == "amman" else 1,
+            ZONES.index(one["zone"]),
             0,
             one["group"],
             states.get(one["status"], self.api.State.GONE),
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -49,6 +49,8 @@
     verdicts = [one.open(10.0, n, "10.0.0.1") for n in range(8)]
     assert verdicts == [None] * 5 + [Why.RATE] * 3
     assert one.open(13.0, 9, "10.0.0.1") is None
+    unnamed = [one.open(20.0, 100 + n, "") for n in range(6)]  # what can't be told counts once, as others do
+    assert unnamed == [None] * 5 + [Why.RATE]
 
 
 def test_of_half_written_ones_the_oldest_of_the_address_goes():
@@ -248,3 +250,14 @@
     assert one.unknown_open(0.0) == 1
     earn(one, 0.0, 1, 1)
     assert one.unknown_open(0.0) == 0
+
+
+def test_the_last_places_are_for_known_addresses_only():
+    one = gate()
+    one.open(0.0, "k", "10.9.9.9")
+    earn(one, 0.0, "k")
+    verdicts = [one.open(0.0, n, f"10.{n}.0.1") for n in range(PLACES)]
+    assert verdicts == [None] * 30 + [Why.KEPT] * 10  # three quarters of 40
+    assert one.open(0.0, "k2", "10.9.9.9") is None
+    one.close(0)
+    assert one.open(0.0, "u", "10.99.0.1") is None
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -4,7 +4,9 @@
 import pytest
 from test_scenarios import COLD, DRAINED, KILLED, SABOTAGE, TROUBLED, sabotaged
 
+from ochreflow.core import engine
 from ochreflow.lab.scenario import names, read_scenario
+from ochreflow.rehearsal import sidecar
 from ochreflow.rehearsal.build import load
 from ochreflow.rehearsal.play import Rehearsal, rehearse
 
@@ -43,9 +45,15 @@
     assert lost > 10 and played.verdict == 0
 
 
+def test_the_margins_are_those_of_the_engine():
+    """The rehearsal may not import it, and keeps its own copy."""
+    assert sidecar.ATTEMPT_MARGIN_NS == engine.ATTEMPT_MARGIN_NS
+    assert sidecar.GUARD_MARGIN_NS == engine.GUARD_MARGIN_NS
+
+
 @pytest.mark.parametrize("made", [TROUBLED, DRAINED, KILLED, COLD])
-def test_the_offered_load_is_the_same_on_both_clocks(made):
-    """What clients want depends on the seed alone: a build or a clock changes nothing of it."""
+def test_what_is_offered_depends_on_the_seed_alone(made):
+    """Slower nodes answer less, and are asked the same."""
     first = rehearse(made, 2).report.matters
     slower = msgspec.structs.replace(made, fleet=msgspec.structs.replace(made.fleet, cores=1))
     again = rehearse(slower, 2).report.matters
