Split the decision module by concern into ten files that each own what they learn

Change: fleet, latency, rules with the pace, pick, limit, shares, health and repeats are classes of their own modules; Balancer takes the events and owns the open requests. deploy/balancer.toml names the files.

--- a/benchmarks/worse_builds.py
+++ b/benchmarks/worse_builds.py
@@ -20,26 +20,31 @@
 from ochreflow.lab.scenario import names
 from ochreflow.rehearsal.play import rehearse
 
-LOGIC = Path("ochreflow/policy/logic.py")
-WORSE = {  # what is changed, and into what
-    "as it is": {},
-    "no ejection": {"STRIKES = 2.0": "STRIKES = 1e9"},
-    "random pick": {"if best is None or delay < lowest:": "if best is None or self.random.random() < 0.5:"},
-    "no retry budget": {"RETRY_SHARE = 0.1": "RETRY_SHARE = 1e6"},
+POLICY = Path("ochreflow/policy")
+WORSE = {  # the file that is changed, what in it, and into what
+    "as it is": None,
+    "no ejection": ("health.py", "STRIKES = 2.0", "STRIKES = 1e9"),
+    "random pick": (
+        "pick.py",
+        "if best is None or delay < lowest:",
+        "if best is None or self.ctx.random.random() < 0.5:",
+    ),
+    "no retry budget": ("repeats.py", "RETRY_SHARE = 0.1", "RETRY_SHARE = 1e6"),
 }
 
 
 def built(folder: Path) -> dict[str, Path]:
     """Make all builds; their folders."""
     made = {}
-    for name, changes in WORSE.items():
+    for name, change in WORSE.items():
         made[name] = make(".", folder / name.replace(" ", "-"))
-        text = (made[name] / LOGIC).read_text()
-        for old, new in changes.items():
-            if text.count(old) != 1:
-                raise SystemExit(f"{name}: {old!r} is there {text.count(old)} times")
-            text = text.replace(old, new)
-        (made[name] / LOGIC).write_text(text)
+        if change is None:
+            continue
+        file, old, new = change
+        text = (made[name] / POLICY / file).read_text()
+        if text.count(old) != 1:
+            raise SystemExit(f"{name}: {old!r} is there {text.count(old)} times")
+        (made[name] / POLICY / file).write_text(text.replace(old, new))
     return made
 
 
--- a/ochreflow/core/engine.py
+++ b/ochreflow/core/engine.py
@@ -175,7 +175,7 @@
                 except Exception:
                     # Guards all other requests against a fault in one; the last guard answers that one.
                     self.fault("the module failed on an event")
-                    actions = self.balancer.actions
+                    actions = self.balancer.ctx.actions
                 for action in actions:
                     try:
                         self._act(action)
@@ -484,7 +484,7 @@
         self.post(news.membership(kind))
         self.fleet.apply(news)
         # After changes too: on a day of replacements no whole list may ever come.
-        self.fleet.names.keep(set(self.balancer.servers) | set(self.fleet.listed))
+        self.fleet.names.keep(set(self.balancer.fleet.servers) | set(self.fleet.listed))
 
     def on_peer(self, sender: int, data: bytes) -> None:
         self.post(api.PeerMessage(sender, data))
--- /dev/null
+++ b/ochreflow/policy/fleet.py
@@ -0,0 +1,113 @@
+"""The server list: who may be sampled, what is in flight at them, and when to ask for news of them."""
+
+from .interface import ListKind, Membership, State, Watch
+from .records import SECOND, WATCH, Context, Server
+
+SET_LEAST = 2  # servers of each side (own zone, others) sampled from at the least: a pick of two needs two
+SET_SPAN = 1.0  # ... or as many as are asked in so many shortest deadlines: each is heard from so often
+DEMAND_SPAN = 5.0  # shortest deadlines over which the own requests are counted
+
+# Asking discovery, as parts of the time within which a sidecar must ask.
+WATCH_SPREAD = 0.05  # the first call and the first repeat of it are spread over this
+WATCH_MOST = 0.4  # ... doubling up to this, so that two calls fit
+WATCH_LEAST = 0.1  # of the span at the least, to leave a failing registry alone
+
+
+class Fleet:
+    def __init__(self, ctx: Context) -> None:
+        self.ctx = ctx
+        self.servers: dict[int, Server] = {}
+        self.near: list[Server] = []  # ready and not ejected, in the own zone
+        self.far: list[Server] = []
+        self.ejected: list[Server] = []
+        self.ready_count = 0
+        self.inflight = 0  # own attempts out, but for those at ejected servers
+        self.rest: list[Server] = []  # those that are not sampled from
+        self.sees_little = True
+        self.set_size = 0
+        self.stands_for = [1.0, 1.0]  # ready servers near and far for each one sampled
+        self.demand = 0.0  # own requests a second
+        self.demand_at = 0
+        self.began = 0
+        self.watch_fails = 0
+        self.watching = False
+
+    def regroup(self) -> None:
+        """Rebuild the lists to sample from; only when a server changes state."""
+        for server in [s for s in self.servers.values() if not s.listed and not s.out]:
+            del self.servers[server.id]  # else memory grows with every server that ever was
+        ready = [server for server in self.servers.values() if server.ready and server.listed]
+        self.ready_count = len(ready)
+        self.ejected = [server for server in ready if server.ejected]
+        here = self.ctx.settings.zone
+        near = [server for server in ready if server.zone == here and not server.ejected]
+        far = [server for server in ready if server.zone != here and not server.ejected]
+        size = self.set_size = self.set_size_now()
+        # Where servers outnumber sidecars each makes much of a server's load, whatever it sends just now.
+        self.sees_little = size < len(ready) < self.ctx.settings.fleet_size
+        if self.sees_little:
+            near.sort(key=lambda server: server.rank)  # the same ones as long as they are fit
+            far.sort(key=lambda server: server.rank)
+        else:
+            size = len(ready)
+        self.near, self.far, self.rest = near[:size], far[:size], near[size:] + far[size:]
+        self.stands_for = [len(near) / max(len(self.near), 1), len(far) / max(len(self.far), 1)]
+
+    def set_size_now(self) -> int:
+        """Servers of a side to sample from: so few that each is heard from about once a deadline."""
+        return max(SET_LEAST, int(self.demand * SET_SPAN * self.ctx.shortest / SECOND))
+
+    def count_demand(self) -> None:
+        if not self.began:
+            self.began = self.demand_at = self.ctx.now
+        span = min(self.ctx.now - self.began + self.ctx.shortest, DEMAND_SPAN * self.ctx.shortest)
+        self.demand = self.demand * max(0.0, 1.0 - (self.ctx.now - self.demand_at) / span) + SECOND / span
+        self.demand_at = self.ctx.now
+        size = self.set_size_now()
+        if size != self.set_size and min(size, self.set_size) < self.ready_count:
+            self.regroup()
+
+    def take(self, event: Membership) -> float:
+        """Take a list or changes; return the part of the servers sampled from that is left, at most 1."""
+        if event.kind is ListKind.CACHED:
+            if self.ctx.settings.must_ask:
+                spread = self.ctx.settings.must_ask_in_ns * WATCH_SPREAD  # restarted ones: not all at once
+                self.ctx.at(self.ctx.now + int(spread * self.ctx.random.random()), WATCH)
+        elif event.kind is ListKind.FAILED:
+            self.watching = False
+            self.watch_later()
+            return 1.0
+        else:
+            self.watching = True
+            self.watch_fails = 0
+        if event.kind is not ListKind.DELTA:
+            present = {entry.server for entry in event.entries}
+            for known in self.servers.values():
+                known.listed &= known.id in present  # absent from a complete list: gone
+        for entry in event.entries:
+            server = self.servers.get(entry.server)
+            if server is None:
+                self.servers[entry.server] = Server(entry, self.ctx.random.random())
+            elif entry.started_ns != server.started or (entry.state is State.READY and not server.ready):
+                if server.ejected:
+                    self.inflight += server.waited_for()
+                server.restart(entry)
+            else:
+                server.ready = entry.state is State.READY
+                server.zone, server.cell = entry.zone, entry.cell
+            self.servers[entry.server].listed = entry.state is not State.GONE
+        before = len(self.near) + len(self.far)
+        self.regroup()
+        after = len(self.near) + len(self.far)
+        return after / before if 0 < after < before else 1.0
+
+    def watch_later(self) -> None:
+        if not self.ctx.settings.must_ask:
+            return
+        span = self.ctx.settings.must_ask_in_ns * min(WATCH_MOST, WATCH_SPREAD * 2**self.watch_fails)
+        self.watch_fails += 1
+        self.ctx.at(self.ctx.now + int(span * self.ctx.random.uniform(WATCH_LEAST, 1.0)) + 1, WATCH)
+
+    def watch(self) -> None:
+        if not self.watching:
+            self.ctx.actions.append(Watch(True))
--- /dev/null
+++ b/ochreflow/policy/health.py
@@ -0,0 +1,171 @@
+"""Health: evidence for and against servers, from how attempts end; who is ejected, and tried again."""
+
+from collections.abc import Callable
+
+from .interface import Effect, Outcome, Status
+from .limit import PRESSURE_FULL, Limit
+from .pick import SMOOTHING, Picker
+from .records import Context, Open, Server
+
+FAILURE_SAMPLE = 4.0  # what a failure counts at least: a fast error must not look like a fast server
+SMOOTHING_SPAN = 3.0  # shortest deadlines after which an old estimate counts half against a new sample
+SAMPLE_LIMIT = 10.0  # one long-tailed request must not condemn a server
+FULL_SAMPLE = 3.0  # a full server is alive, but to be left alone for a while
+
+OVERDUE_DEVIATIONS = 4.0  # as TCP's retransmission time-out: mean and four mean deviations
+OVERDUE_AT_LEAST = 2.0  # class means
+OVERDUE_AT_MOST = 0.5  # of the time left: a repeat needs as much as the first try had
+
+STRIKES = 2.0  # consecutive failures without a sign of life in between
+HINT_STRIKE = 0.5  # an overdue attempt counts so much: four of them eject
+EJECT_FOR = 1.0  # times the shortest deadline, for the first ejection
+EJECT_GROWTH = 2.0
+EJECT_MOST = 8.0  # times the first
+EJECT_JITTER = 0.3  # either way: sidecars must not try a server together
+EJECT_SHARE = 0.7  # of the ready servers, on broken connections; beyond it, suspect oneself and spread
+EJECT_SHARE_ON_SILENCE = 0.34  # on missing answers alone: if a third is silent, it is load
+SOUND_SMOOTHING = 0.1  # weight of a new answer of one server in its part of answers that are no errors
+SOUND_LEAST = 0.5  # of it, for a server to be of use in need: it does more good than harm
+
+
+class Health:
+    def __init__(self, ctx: Context, limit: Limit, pick: Picker, ejects: Callable[[Server], None]) -> None:
+        self.ctx = ctx
+        self.latency = limit.latency
+        self.limit = limit
+        self.pick = pick
+        self.fleet = pick.fleet
+        self.rules = pick.rules
+        self.ejects = ejects  # told of a server that has just been ejected
+        self.has_safe = any(spec.effect is Effect.SAFE for spec in ctx.settings.classes)
+
+    def ended(self, event: Outcome) -> Server | None:
+        """Whatever became of an attempt, it is in flight no more. Its server, if that is still known."""
+        server = self.fleet.servers.get(event.server)
+        attempt = (event.id, event.attempt)
+        if server and attempt in server.out:
+            sent, cls = server.out.pop(attempt)
+            lost = attempt in server.lost
+            server.lost.discard(attempt)
+            self.fleet.inflight -= not lost and not server.ejected
+            self.learn(server, sent, cls, event, lost)
+        return server
+
+    def learn(self, server: Server, sent: int, cls: int, event: Outcome, lost: bool) -> None:
+        """Take an attempt's end into the estimates of its server and class."""
+        status = event.status
+        took = event.duration_ns
+        base = self.latency.base[cls]
+        if server.ejected:
+            server.trial_out = False
+        if status is Status.MOOT:
+            return
+        if status in (Status.OK, Status.ERROR):
+            server.sound += SOUND_SMOOTHING * ((status is Status.OK) - server.sound)
+        if status is not Status.CANCELLED:
+            server.answers = status in (Status.OK, Status.ERROR, Status.FULL)
+        if status is Status.OK:
+            self.latency.learn_usual(cls, took, self.limit.pressure >= 1.0)
+            self.rules.pace.earn(server, cls)
+            self.limit.answered(server, cls, took)
+            self.latency.learn(cls, took)
+            self.latency.count_answer()
+            server.strikes = 0.0
+            server.last_ok = self.ctx.now
+            if server.ejected:
+                self.readmit(server)
+            self.sample(server, took / base)
+            self.pick.heed(server, event.report, took / base)
+        elif status is Status.FULL:
+            self.sample(server, max(FULL_SAMPLE, server.rel))
+            self.rules.pace.lose(server)
+            server.last_ok = self.ctx.now  # busy, but alive
+            self.limit.add(PRESSURE_FULL)
+        elif status is Status.CANCELLED:
+            if took / base > server.rel:
+                self.sample(server, took / base)
+        else:
+            self.sample(server, max(took / base, FAILURE_SAMPLE, server.rel))
+            if status is Status.TIMEOUT and server.last_ok > sent and not lost:
+                self.limit.press(server, cls, took)
+            if status is not Status.TIMEOUT:
+                self.strike(server, 1.0, EJECT_SHARE)
+            elif server.last_ok <= sent:
+                self.strike(server, 1.0, EJECT_SHARE_ON_SILENCE)
+            else:
+                self.latency.follow(cls, took)
+
+    def sample(self, server: Server, rel: float) -> None:
+        fresh = 1.0 - 0.5 ** ((self.ctx.now - server.heard) / (SMOOTHING_SPAN * self.ctx.shortest))
+        weight = max(SMOOTHING, 1.0 / (server.samples + 2), fresh if self.fleet.sees_little else 0.0)
+        rel = min(rel, SAMPLE_LIMIT)
+        server.rel += weight * (rel - server.rel)
+        self.pick.lean(server, rel)
+        server.samples += 1
+        server.heard = self.ctx.now
+
+    def strike(self, server: Server, weight: float, share: float) -> None:
+        """Count a failure or an overdue attempt, and eject while at most this share would be out."""
+        server.strikes += weight
+        if server.ejected:
+            self.set_trial(server)
+        elif server.strikes >= STRIKES and len(self.fleet.ejected) + 1 <= share * self.fleet.ready_count:
+            self.eject(server)
+
+    def eject(self, server: Server) -> None:
+        server.ejected = True
+        self.fleet.inflight -= server.waited_for()
+        server.ejections = 0
+        self.set_trial(server)
+        self.fleet.regroup()
+        self.ctx.log(f"ejected {server.id} after {server.strikes:.1f} strikes in a row")
+        self.ejects(server)
+
+    def set_trial(self, server: Server) -> None:
+        wait = self.ctx.shortest * min(EJECT_FOR * EJECT_GROWTH**server.ejections, EJECT_MOST)
+        server.ejections += 1
+        jitter = self.ctx.random.uniform(1.0 - EJECT_JITTER, 1.0 + EJECT_JITTER)
+        server.trial_at = self.ctx.now + int(wait * jitter)
+
+    def trial(self, req: Open) -> Server | None:
+        """An ejected server that is due for one request: of a class safe to repeat, if there is any."""
+        if req.attempts or (self.has_safe and req.spec.effect is not Effect.SAFE):
+            return None
+        for server in self.fleet.ejected:
+            if server.trial_at <= self.ctx.now and not server.trial_out and self.rules.may_send(req, server):
+                return server
+        return None
+
+    def readmit(self, server: Server) -> None:
+        server.ejected = False
+        self.fleet.inflight += server.waited_for()
+        server.rel = min(server.rel, FULL_SAMPLE)
+        self.fleet.regroup()
+
+    def write_off(self, server: Server, attempt: tuple[int, int]) -> None:
+        """Take an attempt that is overdue twice out of what is in flight: its answer is most likely lost.
+
+        Guards against a network that drops answers: attempts that never come back filled a shrinking limit
+        until their deadlines, and all requests were refused.
+        """
+        if attempt not in server.lost:
+            self.fleet.inflight -= not server.ejected
+            server.lost.add(attempt)
+
+    def overdue_after(self, server: Server, cls: int, left: int) -> int:
+        """When to doubt an attempt: a slow server is given its time, lest load looks like loss."""
+        usual = self.latency.base[cls] + OVERDUE_DEVIATIONS * self.latency.deviation[cls]
+        usual = max(usual, OVERDUE_AT_LEAST * self.latency.base[cls]) * max(server.rel, 1.0)
+        return int(min(usual, OVERDUE_AT_MOST * left)) + 1
+
+    def spare(self, req: Open) -> Server | None:
+        """A server that is avoided for its errors, for a request that would else be refused.
+
+        It gets no more than the others hold each, and nothing if it mostly fails or does not answer.
+        """
+        most = max(self.fleet.inflight / max(len(self.fleet.near) + len(self.fleet.far), 1), 1.0)
+        for server in self.fleet.ejected:
+            of_use = server.answers and server.sound >= SOUND_LEAST and server.waited_for() < most
+            if of_use and self.rules.may_send(req, server):
+                return server
+        return None
--- /dev/null
+++ b/ochreflow/policy/pick.py
@@ -0,0 +1,168 @@
+"""Picking: the lower expected delay of two sampled."""
+
+import math
+from collections import defaultdict
+
+from .fleet import Fleet
+from .latency import Latencies
+from .records import SECOND, Context, Group, Open, Server
+from .rules import Rules
+
+SMOOTHING = 0.08  # weight of a new sample of one server: work varies far more than servers do
+FORGET_GAPS = 20.0  # estimates halve their distance to the mean in so many usual gaps between answers
+STALE_AFTER = 4.0  # shortest deadlines after which a latency says half as much of the queue others made
+STALE_SHARPNESS = 2.0  # how much better than in proportion to speed: one of two drawn wins by its square
+LEAN = 0.2  # step of a group's weight for each class mean that an answer differs by: ten answers turn it
+LEAN_FADE = 0.01  # ... of it forgotten with each answer, lest chance walks it away
+LEAN_CLIP = 3.0  # class means that one late answer counts at most
+LEAN_MOST = 3.0  # e^3 either way: a group is never shut out, or nothing would tell of its recovery
+LEAN_CROSS = 3.0  # aims of delay for each point of price for a crossing: it is paid where zones are level
+LOAD_FADE = 0.5  # shortest deadlines in which a report comes to say half as much, and is of use
+GROUP_SMOOTHING = 0.1  # of a group's mean latency, after as many answers
+CROSS_WEIGHT = 4.0  # aims of delay for each point of price for a crossing
+
+
+class Picker:
+    def __init__(self, ctx: Context, latency: Latencies, fleet: Fleet, rules: Rules) -> None:
+        self.ctx = ctx
+        self.latency = latency
+        self.fleet = fleet
+        self.rules = rules
+        self.groups: defaultdict[tuple[int, bool], Group] = defaultdict(Group)
+        self.mean_rel = 1.0
+        columns = ctx.settings.report_columns
+        held = [columns.index(name) for name in ("inflight", "queue") if name in columns]
+        self.load_column = held[0] if held else None
+        self.can_ask = ctx.settings.can_probe and bool(held)
+        self.cross = ctx.settings.price_cross_zone * CROSS_WEIGHT
+
+    def delay(self, server: Server, cls: int) -> float:
+        """Expected delay by the design: (in-flight + 1) x smoothed latency.
+
+        A sidecar that sees little draws it about the estimate, the wider the older its news is: most of
+        what is in flight there is of others. Guards against all of them crowding the faster kind.
+        """
+        news = server.heard
+        if self.fleet.sees_little and self.ctx.now - server.load_at < LOAD_FADE * self.ctx.shortest:
+            group = self.group(server)
+            known = 0.5 ** ((self.ctx.now - server.load_at) / (LOAD_FADE * self.ctx.shortest))
+            load = max(group.load + (server.load - group.load) * known, len(server.out))
+            delay = (load + 1.0) * (server.unit or group.unit) * self.latency.base[cls]
+            delay = max(delay, self.silence(server))
+            news = server.load_at
+        else:
+            delay = (len(server.out) + 1) * self.slowness(server) * self.latency.base[cls]
+        if self.fleet.sees_little:
+            stale = 1.0 - 0.5 ** ((self.ctx.now - news) / (STALE_AFTER * self.ctx.shortest))
+            delay *= self.ctx.random.expovariate(1.0) ** (stale / STALE_SHARPNESS)
+        return delay
+
+    def slowness(self, server: Server) -> float:
+        """Smoothed latency in class means, aged towards the mean, raised by an unanswered attempt."""
+        forget = FORGET_GAPS * max(self.fleet.ready_count, 1) / max(self.latency.rate, 1.0) * SECOND
+        mean = self.group(server).rel if self.fleet.sees_little else 1.0
+        rel = server.rel if server.samples else mean
+        rel = mean + (rel - mean) * 0.5 ** ((self.ctx.now - server.heard) / forget)
+        if server.out:
+            _, cls = next(iter(server.out.values()))
+            rel = max(rel, self.silence(server) / self.latency.base[cls])
+        return rel
+
+    def silence(self, server: Server) -> float:
+        """Silence with work outstanding is evidence before any time-out: a hung server."""
+        if not server.out:
+            return 0.0
+        return self.ctx.now - max(next(iter(server.out.values()))[0], server.last_ok)
+
+    def heed(self, server: Server, report: tuple[float, ...], rel: float = 0.0) -> None:
+        """Take a load report, and what the answer that it came with took for each request held."""
+        if self.load_column is None or len(report) <= self.load_column:
+            return
+        load = report[self.load_column]
+        if not 0.0 <= load < math.inf:
+            return
+        server.load, server.load_at = load, self.ctx.now
+        group = self.group(server)
+        group.reports += 1
+        weight = max(GROUP_SMOOTHING, 1.0 / group.reports)
+        group.load += weight * (load - group.load)
+        if rel:
+            unit = rel / (load + 1.0)
+            group.unit += weight * (unit - group.unit)
+            server.unit = (server.unit or group.unit) + SMOOTHING * (unit - (server.unit or group.unit))
+
+    def pick(self, req: Open) -> Server | None:
+        """Two sampled of the own zone against two sampled of the others, which pay for the crossing."""
+        tried = {attempt[0] for attempt in req.attempts}
+        for avoided in (tried, ()) if tried else ((),):
+            best, lowest = None, 0.0
+            for server, extra in self.sampled(req, avoided):
+                delay = self.delay(server, req.cls) + extra
+                if best is None or delay < lowest:
+                    best, lowest = server, delay
+            if best is not None:
+                return best
+        for server in self.fleet.ejected:  # nothing better: an ejected one may have recovered
+            if not server.trial_out and self.rules.may_send(req, server):
+                return server
+        return None
+
+    def sampled(self, req: Open, tried) -> list[tuple[Server, float]]:
+        """Candidates, with what is added to their delay for crossing zones."""
+        if not self.fleet.sees_little:
+            cross = self.cross * req.spec.objective_ns
+            pairs = [(server, 0.0) for server in self.two(self.fleet.near, req, tried)]
+            return pairs + [(server, cross) for server in self.two(self.fleet.far, req, tried)]
+        # Too few own answers to know a zone or kind as overrun by its servers: two of the set, by weights
+        # that follow what each group's answers took. The price of a crossing is in the weights.
+        for servers in (self.fleet.near + self.fleet.far, self.fleet.rest):
+            fit = [one for one in servers if one not in tried and self.rules.may_send(req, one)]
+            if fit:
+                break
+        if len(fit) > 2:
+            weights = [self.weight(server) for server in fit]
+            first = self.ctx.random.choices(range(len(fit)), weights)[0]
+            weights[first] = 0.0
+            fit = [fit[first], fit[self.ctx.random.choices(range(len(fit)), weights)[0]]]
+        return [(server, 0.0) for server in fit]
+
+    def weight(self, server: Server) -> float:
+        far = server.zone != self.ctx.settings.zone
+        return math.exp(self.group(server).lean) * self.fleet.stands_for[far]
+
+    def group(self, server: Server) -> Group:
+        return self.groups[(server.kind, server.zone != self.ctx.settings.zone)]
+
+    def lean(self, server: Server, rel: float) -> None:
+        """Lean towards the groups that answer sooner than the mean, as integral control does.
+
+        Guards against a zone with too much traffic, and a slow kind, being overrun in the first seconds.
+        """
+        group = self.group(server)
+        group.samples += 1
+        group.rel += max(GROUP_SMOOTHING, 1.0 / (group.samples + 1)) * (rel - group.rel)
+        excess = rel - self.mean_rel
+        self.mean_rel += GROUP_SMOOTHING * excess
+        if server.zone != self.ctx.settings.zone:
+            aims = sum(spec.objective_ns for spec in self.ctx.settings.classes) / sum(self.latency.base)
+            excess += LEAN_CROSS * self.ctx.settings.price_cross_zone * aims
+        lean = group.lean * (1.0 - LEAN_FADE) - LEAN * min(max(excess, -1.0), LEAN_CLIP)
+        group.lean = min(max(lean, -LEAN_MOST), LEAN_MOST)
+
+    def two(self, group: list[Server], req: Open, tried) -> list[Server]:
+        """Up to two different servers of the group that may take this request now."""
+        found: list[Server] = []
+        size = len(group)
+        if not size:
+            return found
+        at = self.ctx.random.randrange(size)
+        step = self.ctx.random.randrange(1, size) if size > 2 else 1
+        for turn in range(size + 1):
+            # The first two are a uniform pair; the walk over all beyond them only replaces unfit ones.
+            ahead = turn * step if turn < 2 else turn - 1
+            server = group[(at + ahead) % size]
+            if server not in found and server not in tried and self.rules.may_send(req, server):
+                found.append(server)
+                if len(found) == 2:
+                    break
+        return found
--- /dev/null
+++ b/ochreflow/policy/records.py
@@ -0,0 +1,113 @@
+"""What a sidecar remembers: servers, groups of servers, open requests; and what all its parts share."""
+
+import heapq
+import random
+
+from .interface import Action, Endpoint, Log, Request, RequestClass, Settings, State
+
+SECOND = 1_000_000_000
+OUT, NEVER_RAN, MAY_HAVE_RUN = range(3)
+OVERDUE, REPEAT, WATCH = range(3)  # kinds of timers
+UNSENT_MOST = 0.45  # of a request's time may pass with nothing sent, while another try is still of use
+
+
+class Context:
+    """What all parts share: settings, time, chance, the timers, and the actions of this event."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.now = 0
+        self.actions: list[Action] = []
+        self.timers: list[tuple[int, int, int, int]] = []
+        self.shortest = min(spec.deadline_ns for spec in settings.classes)
+        self.log_at = 0
+
+    def at(self, due: int, kind: int, ident: int = 0, attempt: int = 0) -> None:
+        heapq.heappush(self.timers, (due, kind, ident, attempt))
+
+    def log(self, text: str) -> None:
+        """One line a second at most: the report keeps only a few hundred."""
+        if self.now >= self.log_at:
+            self.log_at = self.now + SECOND
+            self.actions.append(Log(text))
+
+
+class Server:
+    """What this sidecar believes of one server."""
+
+    def __init__(self, entry: Endpoint, rank: float) -> None:
+        self.id = entry.server
+        self.rank = rank  # by the own seed: each sidecar samples from others
+        self.out: dict[tuple[int, int], tuple[int, int]] = {}  # (request, attempt) -> (sent, class)
+        self.lost: set[tuple[int, int]] = set()  # of these, whose answers are not waited for any more
+        self.listed = True
+        self.restart(entry)
+
+    def waited_for(self) -> int:
+        return len(self.out) - len(self.lost)
+
+    def restart(self, entry: Endpoint) -> None:
+        self.zone = entry.zone
+        self.kind = entry.kind
+        self.cell = entry.cell
+        self.ready = entry.state is State.READY
+        self.started = entry.started_ns
+        self.rel = 1.0  # not heard from: counts at the mean, a cold one too, whose pace protects it
+        self.samples = 0
+        self.heard = 0
+        self.last_ok = 0
+        self.sound = 1.0  # smoothed part of its answers that are no errors
+        self.answers = True  # whether the latest news of it was an answer, if only an error
+        self.load = 0.0  # requests held, as last reported
+        self.load_at = 0
+        self.unit = 0.0  # smoothed latency for each request held, in class means; 0: not known
+        self.strikes = 0.0
+        self.ejected = False
+        self.ejections = 0
+        self.trial_at = 0
+        self.trial_out = False
+        self.cold_tokens = 0.0
+        self.cold_at = 0
+
+
+class Group:
+    """What this sidecar believes of servers that the list describes alike: of one kind, near or far."""
+
+    def __init__(self) -> None:
+        self.rel = 1.0  # smoothed latency, in class means
+        self.samples = 0
+        self.load = 0.0  # mean of what is reported
+        self.unit = 1.0
+        self.reports = 0
+        self.lean = 0.0  # logarithm of the weight with which its servers are sampled
+
+
+class Open:
+    """A request that is owed an answer."""
+
+    def __init__(self, request: Request, spec: RequestClass, now: int) -> None:
+        self.id = request.id
+        self.cls = request.cls
+        self.tenant = request.tenant
+        self.spec = spec
+        self.deadline = request.deadline_ns
+        self.send_by = now + int(UNSENT_MOST * (self.deadline - now))
+        self.written = False  # some attempt has reached a server
+        self.age = 0  # since the client's first try, as far as is known
+        self.attempts: list[list] = []  # [server, sent, state], by number
+        self.repeats = 0  # delays waited so far
+        self.charged = False  # the next repeat has been paid for
+        self.planned = False  # a repeat waits in the timer heap
+        self.streaming = False
+        self.uploading = request.uploading  # its body still comes: no server works on it yet
+        self.spent = False  # its body can't be brought again
+        self.asked: list[Server] = []  # candidates whose load is being asked for
+        self.asked_at = 0
+
+    def any_out(self) -> bool:
+        return any(attempt[2] == OUT for attempt in self.attempts)
+
+    def never_ran(self) -> bool:
+        """Whether each attempt is proven not to have run; one still out may have."""
+        return all(attempt[2] == NEVER_RAN for attempt in self.attempts)
--- /dev/null
+++ b/ochreflow/policy/repeats.py
@@ -0,0 +1,49 @@
+"""Repeats: full jitter, one bounded budget."""
+
+from .latency import Latencies
+from .records import Context, Open
+from .rules import Rules
+
+# The delay before repeat n is uniform(FLOOR, min(CAP, BASE * 2^min(n, 6))) of the time left.
+BACKOFF_FLOOR = 0.004  # a few ticks of a usual deadline: enough to leave the tick of the failure
+BACKOFF_BASE = 0.02  # the first repeat costs little of the aim, which is a third of the deadline
+BACKOFF_CAP = 0.25  # a quarter of what is left, so that later repeats still have time to run
+BACKOFF_EXPONENT = 6
+BACKOFF_USEFUL = 0.25  # class means that must be left after the delay: less is hardly ever enough
+RETRY_SHARE = 0.1  # repeats per first try in the long run: bounds amplification when all fails
+RETRY_RESERVE = 10.0  # ... and saved up for this many seconds of traffic, for a sudden loss of servers
+
+
+class Repeats:
+    def __init__(self, ctx: Context, latency: Latencies, rules: Rules) -> None:
+        self.ctx = ctx
+        self.latency = latency
+        self.rules = rules
+        self.tokens = RETRY_SHARE * RETRY_RESERVE
+
+    def earn(self) -> None:
+        """A first try has come."""
+        most = RETRY_SHARE * RETRY_RESERVE * max(self.latency.rate, 1.0)
+        self.tokens = min(self.tokens + RETRY_SHARE, most)
+
+    def affordable(self, req: Open) -> bool:
+        return self.tokens >= 1.0 and self.rules.any_left(req)
+
+    def delay(self, req: Open) -> int | None:
+        """How long to wait before the next repeat, in ns, and pay for it; None: no use, or not allowed."""
+        left = req.deadline - self.ctx.now - self.ctx.settings.tick_ns
+        ceiling = min(BACKOFF_CAP, BACKOFF_BASE * 2 ** min(req.repeats, BACKOFF_EXPONENT))
+        delay = int(self.ctx.random.uniform(BACKOFF_FLOOR, ceiling) * left)
+        req.repeats += 1
+        first = not req.attempts  # held for want of any server: not a repeat
+        if (
+            left <= 0
+            or (not req.written and self.ctx.now + delay > req.send_by)
+            or delay + BACKOFF_USEFUL * self.latency.base[req.cls] > left
+            or (not first and ((self.tokens < 1.0 and not req.charged) or not self.rules.any_left(req)))
+        ):
+            return None
+        if not first and not req.charged:
+            self.tokens -= 1.0  # when planned, or a lost server's attempts would all spend the last one
+            req.charged = True
+        return delay
--- a/ochreflow/rehearsal/build.py
+++ b/ochreflow/rehearsal/build.py
@@ -12,7 +12,7 @@
 
 @dataclass(slots=True)
 class Policy:
-    """The three modules that make it up."""
+    """Its three modules that others speak to."""
 
     interface: ModuleType
     logic: ModuleType
--- a/ochreflow/rehearsal/trace.py
+++ b/ochreflow/rehearsal/trace.py
@@ -52,9 +52,9 @@
         def tick(seconds: float) -> None:
             if len(trace.limit) < int(self.scenario.seconds / STEP):
                 balancers = [sidecar.balancer for sidecar in self.sidecars.values()]
-                trace.limit.append(sum(min(one.limit, 1000.0) for one in balancers))
-                trace.inflight.append(sum(one.inflight for one in balancers))
-                trace.pressure.append(balancers[0].pressure)
+                trace.limit.append(sum(min(one.limit.limit, 1000.0) for one in balancers))
+                trace.inflight.append(sum(one.fleet.inflight for one in balancers))
+                trace.pressure.append(balancers[0].limit.pressure)
 
         return trace, self.run(tick)
 
--- a/ochreflow/wirehost.py
+++ b/ochreflow/wirehost.py
@@ -110,7 +110,7 @@
             event = self._decode(code, body, at + FIELDS, tail_at)
             balancer = self.balancers.get(instance)
             if event is not None and balancer is not None:
-                if type(event) is api.Request and event.cls >= len(balancer.settings.classes):
+                if type(event) is api.Request and event.cls >= len(balancer.ctx.settings.classes):
                     raise FrameError(f"request {event.id} is of unknown class {event.cls}")
                 self._encode(instance, balancer.handle(now, event))
         except (FrameError, SettingError):
--- a/tests/test_compare.py
+++ b/tests/test_compare.py
@@ -60,8 +60,8 @@
 
 
 def test_builds_are_had_or_refused_in_one_line(tmp_path):
-    made = make(".,policy/logic.py:STRIKES=9.5,policy/logic.py:PACE=1.0", tmp_path / "a")
-    text = (made / "ochreflow/policy/logic.py").read_text()
+    made = make(".,policy/health.py:STRIKES=9.5,policy/rules.py:PACE=1.0", tmp_path / "a")
+    text = "".join((made / "ochreflow/policy" / name).read_text() for name in ("health.py", "rules.py"))
     assert "\nSTRIKES = 9.5\n" in text and "\nPACE = 1.0\n" in text
     for number, (wrong, said) in enumerate(
         [
@@ -90,7 +90,7 @@
 
 def test_the_command_finds_a_worse_build_and_writes_a_report(tmp_path):
     out, html = tmp_path / "r.jsonl", tmp_path / "r.html"
-    worse = ".,policy/logic.py:RETRY_SHARE=0.0"  # nothing is ever repeated
+    worse = ".,policy/repeats.py:RETRY_SHARE=0.0"  # nothing is ever repeated
     options = ["--rehearse", "--seeds", "4", "--jobs", "4", "--out", str(out), "--html", str(html)]
     done = command("lab", "compare", ".", worse, "-s", "vanished", "-s", "quiet", *options)
     assert done.returncode == 0, done.stderr
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -170,7 +170,7 @@
 
         def deaf(now, event):
             if isinstance(event, deaf_to):
-                rig.engine.balancer.actions = []
+                rig.engine.balancer.ctx.actions = []
                 raise ZeroDivisionError("of the module")
             return handle(now, event)
 
@@ -178,7 +178,7 @@
         assert await rig.ask(front, "order", "ab", 400) == word
         assert len(fake.got) == (what is not None)
         rig.engine.balancer.open.clear()
-        for server in rig.engine.balancer.servers.values():
+        for server in rig.engine.balancer.fleet.servers.values():
             server.out.clear()
 
     play(tmp_path, lambda name: what, steps)
--- a/tests/test_little.py
+++ b/tests/test_little.py
@@ -87,7 +87,10 @@
             _, used = trickle(balancer, now, range(40), lambda server: (40 if server % 2 else 120) * MS)
             early += sum(1 - server % 2 for server in used[:5])
             late += sum(1 - server % 2 for server in used[-5:])
-            leans += balancer._group(balancer.servers[1]).lean - balancer._group(balancer.servers[0]).lean
+            leans += (
+                balancer.picker.group(balancer.fleet.servers[1]).lean
+                - balancer.picker.group(balancer.fleet.servers[0]).lean
+            )
         assert late < 0.4 * 150 and late < 0.8 * early
         assert leans > 30 * 0.3  # by the sampling too, not by the pick alone
 
@@ -96,9 +99,11 @@
     entries = [Endpoint(n, 0, n % 2, 0, State.READY) for n in range(40)]
     balancer, now = make(entries=entries)
     now, _ = trickle(balancer, now, range(40), lambda server: (40 if server % 2 else 120) * MS)
-    unheard = {server.kind: balancer._slowness(server) for server in balancer.rest if not server.samples}
+    unheard = {
+        server.kind: balancer.picker.slowness(server) for server in balancer.fleet.rest if not server.samples
+    }
     assert unheard[1] < unheard[0]
-    assert unheard[1] == balancer.groups[1, False].rel < 1.0
+    assert unheard[1] == balancer.picker.groups[1, False].rel < 1.0
 
 
 def test_restarted_servers_are_used_from_their_listing_on_but_not_by_all_at_once():
@@ -121,13 +126,13 @@
 def test_one_long_silence_outweighs_answers_of_long_ago():
     balancer, now = make(entries=[endpoint(n) for n in range(40)], effect=Effect.UNSAFE)
     now, used = trickle(balancer, now, range(40), lambda server: 40 * MS)
-    server = balancer.servers[used[-1]]
+    server = balancer.fleet.servers[used[-1]]
     before = server.rel
-    balancer._sample(server, 10.0)  # at once: one of many
+    balancer.health.sample(server, 10.0)  # at once: one of many
     small = server.rel - before
     server.rel = before
-    balancer.now += 20 * SECOND
-    balancer._sample(server, 10.0)
+    balancer.ctx.now += 20 * SECOND
+    balancer.health.sample(server, 10.0)
     assert server.rel - before > 4 * small
 
 
@@ -137,8 +142,8 @@
     balancer, now = make(entries=[endpoint(n) for n in range(40)], **more)
     now, _ = trickle(balancer, now, range(30), lambda server: 20 * MS)
     now += SECOND
-    balancer.settings.price_probe = more["price_probe"] / 100
-    balancer.base[0] = 500 * MS
+    balancer.ctx.settings.price_probe = more["price_probe"] / 100
+    balancer.latency.base[0] = 500 * MS
     actions = balancer.handle(now, request(99, now))
     return balancer, now, kinds(actions, Probe), kinds(actions, Send)
 
@@ -172,7 +177,7 @@
     assert not crowded(report_columns=())[2]
     assert not crowded(price_probe=1000.0)[2]
     quick, now, _, _ = crowded()
-    quick.base[0] = 20 * MS
+    quick.latency.base[0] = 20 * MS
     assert not kinds(quick.handle(now + SECOND, request(100, now + SECOND)), Probe)
 
 
@@ -186,10 +191,10 @@
 
 def test_reports_that_are_no_numbers_change_nothing():
     balancer, _, probes, _ = crowded()
-    server = balancer.servers[probes[0].server]
+    server = balancer.fleet.servers[probes[0].server]
     before = server.load, server.load_at
     for odd in ((), (1.0,), (1.0, float("nan")), (1.0, -3.0), (1.0, float("inf"))):
-        balancer._heed(server, odd)
+        balancer.picker.heed(server, odd)
     assert (server.load, server.load_at) == before
 
 
--- a/tests/test_net_long_day.py
+++ b/tests/test_net_long_day.py
@@ -25,12 +25,12 @@
                     assert (await ask(sidecar.port, data)).code == 200
                 assert len(sidecar.names.servers) <= 2
             await until(lambda: not sidecar.http.clients.all)
-            assert len(module.servers) <= 2 and len(sidecar.upstreams.targets) == 1
+            assert len(module.fleet.servers) <= 2 and len(sidecar.upstreams.targets) == 1
             assert len(sidecar.upstreams.connections) <= 2
-            assert len(module.groups) <= 4 and len(sidecar.names.zones) <= 256
+            assert len(module.picker.groups) <= 4 and len(sidecar.names.zones) <= 256
             assert not (module.open or module.asking or engine.held or engine.attempts)
-            assert len(module.timers) <= DAYS_WORTH / 20  # each goes with its deadline, whatever came of it
-            assert module.inflight == 0 and engine.memory.held == 0
+            assert len(module.ctx.timers) <= DAYS_WORTH / 20  # each goes with its deadline, whatever came of it
+            assert module.fleet.inflight == 0 and engine.memory.held == 0
 
     run(play())
 
@@ -42,14 +42,14 @@
             engine, module = sidecar.engine, sidecar.engine.balancer
             for number in range(3):
                 assert (await ask(sidecar.port, message("lookup", f"a{number}"))).code == 200
-            (old,) = module.servers.values()
+            (old,) = module.fleet.servers.values()
             assert old.samples == 3
             old.strikes = 5.0
-            module._eject(old)
+            module.health.eject(old)
             change = news(2, entry("s1", fake.address, "DELETED"), entry("s2", fake.address), snapshot=False)
             engine.on_news(read_news(change, sidecar.names))
-            (new,) = [server for server in module.servers.values() if server.listed]
-            assert new is not old and not new.ejected and not new.samples and not module.ejected
+            (new,) = [server for server in module.fleet.servers.values() if server.listed]
+            assert new is not old and not new.ejected and not new.samples and not module.fleet.ejected
             assert (await ask(sidecar.port, message("lookup", "b"))).code == 200
             assert fake.connections == 2 and fake.got[-1].connection == 2
 
@@ -65,6 +65,6 @@
                 change = news(index, entry("s1", fake.address, status), snapshot=False)
                 engine.on_news(read_news(change, sidecar.names))
             assert (await ask(sidecar.port, message("order", "a"))).code == 200
-            assert list(sidecar.upstreams.targets) == list(engine.balancer.servers)
+            assert list(sidecar.upstreams.targets) == list(engine.balancer.fleet.servers)
 
     run(play())
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -197,7 +197,7 @@
 
             def failing(now, event):
                 if isinstance(event, api.Request) and event.cls == 2:
-                    sidecar.engine.balancer.actions = []
+                    sidecar.engine.balancer.ctx.actions = []
                     raise ZeroDivisionError("of the module")
                 return handle(now, event)
 
@@ -219,7 +219,7 @@
 
             def deaf(now, event):
                 if isinstance(event, api.Outcome | api.Timer):
-                    sidecar.engine.balancer.actions = []
+                    sidecar.engine.balancer.ctx.actions = []
                     raise ZeroDivisionError("of the module")
                 return handle(now, event)
 
@@ -259,7 +259,7 @@
             engine = sidecar.engine
             await until(lambda: not engine.held and not engine.attempts and not engine.balancer.open)
             assert not sidecar.http.clients.all
-            (server,) = engine.balancer.servers.values()
+            (server,) = engine.balancer.fleet.servers.values()
             assert not server.out  # the attempt's end was told as well
 
     run(play())
@@ -333,7 +333,7 @@
         since = int(time.time() * 1000) - 2000
         known = news(1, entry("s1", f"{HOST}:9"), entry("s2", f"{HOST}:10", since_ms=since))
         async with Sidecar(tmp_path / "c", config(known)) as sidecar:
-            started = sorted(server.started for server in sidecar.engine.balancer.servers.values())
+            started = sorted(server.started for server in sidecar.engine.balancer.fleet.servers.values())
             assert started[0] == 0
             assert 1000 * MS < sidecar.engine.now() - started[1] < 60_000 * MS
 
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -3,6 +3,7 @@
 import random
 import re
 import sys
+import tomllib
 from pathlib import Path
 
 from helpers import MS, SECOND, START, endpoint, make, request, settings
@@ -21,10 +22,13 @@
     assert not space["balancer"].open
 
 
-def test_the_policy_file_stays_within_its_limits_and_names_the_interface_first():
-    text = (ROOT / "ochreflow" / "policy" / "logic.py").read_text()
-    assert len([line for line in text.splitlines() if line.strip()]) <= 1200
-    assert "ochreflow/policy/interface.py" in text.splitlines()[0]
+def test_the_policy_stays_within_its_limits_and_names_the_interface_first():
+    named = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
+    texts = {Path(name).name: (ROOT / name).read_text() for name in named}
+    assert sum(len([line for line in text.splitlines() if line.strip()]) for text in texts.values()) <= 1200
+    assert "ochreflow/policy/interface.py" in texts["logic.py"].splitlines()[0]
+    apart = {"__init__.py", "interface.py", "settings.py"}  # what they speak in, and how settings are read
+    assert {path.name for path in (ROOT / "ochreflow" / "policy").glob("*.py")} == apart | set(texts)
 
 
 def _record(seed, others=0):
@@ -84,7 +88,7 @@
         if ident % 50 == 0:
             entries = [endpoint(ident + n) for n in range(6)]
             balancer.handle(when, Membership(ListKind.FULL, ident, entries))
-            sizes.append((len(balancer.servers), len(balancer.timers), len(balancer.open)))
+            sizes.append((len(balancer.fleet.servers), len(balancer.ctx.timers), len(balancer.open)))
 
     _drive(balancer, now, 4000, roll)
     assert max(size[0] for size in sizes) <= 60
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from ochreflow import Balancer, Settings
+from ochreflow.policy.fleet import Fleet
 from ochreflow.policy.interface import (
     Cancel,
     Dropped,
@@ -31,6 +32,9 @@
     Tenant,
     Timer,
 )
+from ochreflow.policy.pick import Picker
+from ochreflow.policy.repeats import Repeats
+from ochreflow.policy.rules import Pace, Rules
 
 TICK = 5 * MS
 STATUSES = [Status.OK] * 6 + [
@@ -207,17 +211,17 @@
 
 def broken_send_gate(monkeypatch):
     def only_list_and_pace(self, req, server):
-        return server.listed and server.ready and self._cold_allows(server, req.cls, False)
+        return server.listed and server.ready and self.pace.allows(server, req.cls, False)
 
-    monkeypatch.setattr(Balancer, "_may_send", only_list_and_pace)
+    monkeypatch.setattr(Rules, "may_send", only_list_and_pace)
 
 
 def broken_refusal_gate(monkeypatch):
-    monkeypatch.setattr(Balancer, "_may_refuse", lambda self, req: True)
+    monkeypatch.setattr(Rules, "may_refuse", lambda self, req: True)
 
 
 def broken_list(monkeypatch):
-    original = Balancer._may_send
+    original = Rules.may_send
 
     def deaf(self, req, server):
         kept = server.ready, server.listed
@@ -229,17 +233,17 @@
     def everyone(self):
         self.near, self.far, self.ejected = list(self.servers.values()), [], []
 
-    monkeypatch.setattr(Balancer, "_may_send", deaf)
-    monkeypatch.setattr(Balancer, "_regroup", everyone)
+    monkeypatch.setattr(Rules, "may_send", deaf)
+    monkeypatch.setattr(Fleet, "regroup", everyone)
 
 
 def broken_answers(monkeypatch):
-    monkeypatch.setattr(Balancer, "_give_up", lambda self, req: None)
+    monkeypatch.setattr(Repeats, "delay", lambda self, req: SECOND * 3600)
 
 
 def broken_pace(monkeypatch):
-    monkeypatch.setattr(Balancer, "_cold_allows", lambda self, server, cls, take: True)
-    monkeypatch.setattr(Balancer, "_slowness", lambda self, server: 1e-3 if server.started else 1.0)
+    monkeypatch.setattr(Pace, "allows", lambda self, server, cls, take: True)
+    monkeypatch.setattr(Picker, "slowness", lambda self, server: 1e-3 if server.started else 1.0)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -56,7 +56,7 @@
         TROUBLED,
     ),
     "no repeat beyond the class": (
-        "policy/logic.py",
+        "policy/rules.py",
         "if spec.scope is Scope.CELL and other.cell != server.cell:",
         "if spec.scope is Scope.ZONE and other.cell != server.cell:",
         KILLED,
@@ -68,9 +68,9 @@
         DRAINED,
     ),
     "no cold node pushed over": (
-        "policy/logic.py",
-        "        return self._cold_allows(server, req.cls, False)",
-        "        return bool(server.started) or self.random.random() < 0.1",
+        "policy/rules.py",
+        "        return self.pace.allows(server, req.cls, False)",
+        "        return bool(server.started) or self.ctx.random.random() < 0.1",
         COLD,
     ),
     "within its means": (
