Pause accepting without descriptors, let waiting clients give way, hand over known addresses

Need: accept that meets EMFILE was left to the loop, which accepts and closes known and unknown alike; an attempt that found no descriptor was given up while silent clients held theirs; an upgrade began without knowing any client.

In every build a waiting client's connection goes before an attempt lacks a descriptor. Processes of an upgrade tell each other known addresses. The test of a planned end waits for the signal to be heard: a request could be read before it, which failed one run in several.

--- a/ochreflow/admission/gate.py
+++ b/ochreflow/admission/gate.py
@@ -26,6 +26,8 @@
 WIDER_MOST = 16.0
 LOOKED_AT = 8  # addresses without a connection of which the one of least standing is forgotten
 SHOWN = 50
+HANDED = 1024  # known addresses told to the next process: some 40 KiB
+STANDING_MOST = 1e9  # more than that was not earned by requests
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,6 +159,27 @@
             return False, False, 0
         return self._known(now, one), key not in one.half, -one.open
 
+    # An upgrade: the next process begins with what this one knows
+
+    def books(self, now: float) -> list[tuple[str, float]]:
+        """The known addresses with their standing, those of most first, at most `HANDED`."""
+        all_of_them = [*self.addresses.values(), *self.absent.values()]
+        known = [(one.name, self._standing(now, one)) for one in all_of_them if self._known(now, one)]
+        return sorted(known, key=lambda one: -one[1])[:HANDED]
+
+    def take_over(self, now: float, books: object) -> None:
+        """Begin with the books of another process; what is not of their form is left aside."""
+        for entry in books[:HANDED] if isinstance(books, list) else ():
+            if not (isinstance(entry, list | tuple) and len(entry) == 2 and isinstance(entry[0], str)):
+                continue
+            name, standing = entry
+            if not (isinstance(standing, int | float) and 0.0 < standing < STANDING_MOST):
+                continue
+            one = self.addresses.get(name) or self.absent.get(name) or Address(name, prefix_of(name))
+            one.standing, one.standing_at = max(self._standing(now, one), float(standing)), now
+            if name not in self.addresses:
+                self._remember(one)
+
     # What is asked of it
 
     def rows(self, now: float) -> list[Row]:
@@ -167,6 +190,10 @@
             for one in most
         ]
 
+    def known(self, now: float) -> int:
+        """Addresses that are known, with a connection or without."""
+        return sum(self._known(now, one) for one in (*self.addresses.values(), *self.absent.values()))
+
     def unknown_open(self, now: float) -> int:
         """Connections of addresses that are not known."""
         return sum(one.open for one in self.addresses.values() if not self._known(now, one))
--- a/ochreflow/admission/show.py
+++ b/ochreflow/admission/show.py
@@ -12,6 +12,7 @@
     caps = gate.caps
     lines = [
         f"connections: {len(gate.of)} of {gate.places()}, {gate.unknown_open(now)} of unknown addresses",
+        f"known addresses: {gate.known(now)}",
         f"kept for known addresses: {caps.known_part:.0%}",
         f"caps of an address: {caps.open} open, {caps.half_written} half written, "
         f"{caps.new_per_second:g} new a second; of a prefix {caps.prefix_times:g} times as much",
--- a/ochreflow/app/overlap.py
+++ b/ochreflow/app/overlap.py
@@ -2,8 +2,8 @@
 
 Each listens on a Unix socket of its own in $TMPDIR and connects to those of the others. A link lasts as
 long as both processes do, so its end is the word that the other is gone, however it went. Over it they
-tell each other the list of servers, which a new process begins with, and what they hold, so that all
-together keep the limits.
+tell each other the list of servers and the known clients, which a new process begins with, and what they
+hold, so that all together keep the limits.
 """
 
 from __future__ import annotations
@@ -36,11 +36,14 @@
         usage: Usage,
         listed: Callable[[], object],
         pid: int | None = None,
+        known: Callable[[], object] = lambda: None,
     ) -> None:
         self.loop = loop
         self.folder = Path(folder)
         self.usage = usage
         self.listed = listed  # the own list, in discovery's form; None before there is one
+        self.known = known  # the own books of clients' addresses; None where none are kept
+        self.books: list[object] = []  # those of the others
         self.pid = pid or os.getpid()
         self.path = self.folder / f"{PREFIX}{self.pid}{SUFFIX}"
         self.server: asyncio.Server | None = None
@@ -64,6 +67,7 @@
         links = [link for path in others if (link := await self._connect(path)) is not None]
         if links:
             await asyncio.wait([link.greeted for link in links], timeout=ANSWER_WITHIN)
+        self.books = [link.books for link in links if link.books is not None]
         lists = [link.handed for link in links if link.handed is not None]
         self._tell()
         return lists[-1] if lists else None
@@ -120,6 +124,7 @@
         self.buffer = bytearray()
         self.pid: int | None = None  # known once it has greeted
         self.handed: object = None
+        self.books: object = None
         self.holds = (0, 0, 0)
         self.greeted: asyncio.Future[None] = overlap.loop.create_future()
 
@@ -127,7 +132,8 @@
         self.transport = transport  # type: ignore[assignment]
         self.overlap.links[self] = None
         overlap = self.overlap
-        self.write({"pid": overlap.pid, "list": overlap.listed(), "holds": overlap.usage.own()})
+        own = {"list": overlap.listed(), "known": overlap.known(), "holds": overlap.usage.own()}
+        self.write({"pid": overlap.pid, **own})
 
     def data_received(self, data: bytes) -> None:
         self.buffer += data
@@ -147,6 +153,7 @@
         if "pid" in message:
             self.pid = int(message["pid"])
             self.handed = message["list"]
+            self.books = message.get("known")  # versions before this one do not tell any
             log.info("overlap_began", process=self.pid)
             if not self.greeted.done():
                 self.greeted.set_result(None)
--- a/ochreflow/app/process.py
+++ b/ochreflow/app/process.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+from time import monotonic
 
 import uvloop
 
@@ -68,13 +69,23 @@
     overlap, known = None, None
     if inherited is not None and (folder := os.environ.get("TMPDIR")):
         # Only a socket that the platform holds can have another process on it.
-        overlap = Overlap(loop, folder, usage, lambda: sidecar.list_now() if sidecar is not None else None)
+        overlap = Overlap(
+            loop,
+            folder,
+            usage,
+            lambda: sidecar.list_now() if sidecar is not None else None,
+            known=lambda: sidecar.known_clients() if sidecar is not None else None,
+        )
         known = handed_list(await overlap.start(), config.names)
     sidecar = Sidecar(loop, config, usage, known)
     engine = sidecar.engine
     management = Management(loop, engine)
     reloader = Reloader(loop, sidecar, management, options, path)
     reloader.take_options(options, options.sink())
+    gate = sidecar.http.clients.gate
+    if gate is not None and overlap is not None:
+        for books in overlap.books:
+            gate.take_over(monotonic(), books)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, engine.lifecycle.terminate)
     loop.add_signal_handler(signal.SIGHUP, reloader.ask)
@@ -84,20 +95,28 @@
             await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
             engine.peers = peers
         await management.listen(options.operators or config.management)
-        if inherited is not None:
-            server = await loop.create_server(sidecar.http.connection, sock=inherited, backlog=BACKLOG)
+        if gate is not None:
+            from ..http.acceptor import Acceptor
+
+            sock = inherited or socket.create_server(config.listen)
+            sock.listen(BACKLOG)
+            host, port = sock.getsockname()
+            sidecar.http.listen(Acceptor(loop, sock, sidecar.http.connection, sidecar.http.clients))
         else:
-            server = await loop.create_server(sidecar.http.connection, *config.listen, backlog=BACKLOG)
+            if inherited is not None:
+                server = await loop.create_server(sidecar.http.connection, sock=inherited, backlog=BACKLOG)
+            else:
+                server = await loop.create_server(sidecar.http.connection, *config.listen, backlog=BACKLOG)
+            host, port = server.sockets[0].getsockname()
+            sidecar.http.listen(server)
     except OSError as error:
         raise ConfigError(f"can't listen: {error}") from None
-    sidecar.http.listen(server)
     engine.lifecycle.serve()
     # What was made until now lives as long as the process: collections need not look at it again, nor
     # come as often as for a program that makes cycles.
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
-    host, port = server.sockets[0].getsockname()
     log.info("listening", name=config.name, host=host, port=port)
     await engine.lifecycle.stopped
     management.close()
--- a/ochreflow/app/sidecar.py
+++ b/ochreflow/app/sidecar.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from functools import partial
+from time import monotonic
 
 from ..core.engine import SECOND, Engine
 from ..core.fleet import News
@@ -56,6 +57,11 @@
         """The list for a process that begins beside this one; an ending one may be long past its last."""
         return write_news(self.directory.version or 0, self.engine.fleet.listed.values(), self.names)
 
+    def known_clients(self) -> object:
+        """The gate's books for a process that begins beside this one; None without a gate."""
+        gate = self.http.clients.gate
+        return gate.books(monotonic()) if gate is not None else None
+
     def reload(self, config: Config) -> None:
         """Take what may change while running of a new configuration: the directory may have moved."""
         self.directory.turn(config.discovery)
--- a/ochreflow/core/limits.py
+++ b/ochreflow/core/limits.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 MB = 1024 * 1024
 
 
@@ -22,6 +24,11 @@
         self.others = 0  # processes of this sidecar beside this one
         self.others_held = 0
         self.others_connected = 0
+        self.waiting: list[Callable[[], bool]] = []  # each lets a connection go that waits, if it has one
+
+    def make_room(self) -> bool:
+        """Have a waiting connection go: it gives way before anything that is owed an answer does."""
+        return any(give_way() for give_way in self.waiting)
 
     @property
     def limit(self) -> int:
--- a/ochreflow/core/log.py
+++ b/ochreflow/core/log.py
@@ -32,6 +32,8 @@
     "overlap_unreadable": "another process said what can't be read; it is left alone",
     "overlap_began": "process {process} serves beside this one",
     "overlap_ended": "process {process} is gone",
+    "accept_paused": "no descriptor for another connection ({reason}): {closed} that waited closed, "
+    "none accepted for {seconds} s",
     "connection_refused": "a connection from {address} was refused: {reason}",
     "module": "{said}",
     "verdict": "{front} request {request} {outcome}: {reason}",
--- /dev/null
+++ b/ochreflow/http/acceptor.py
@@ -0,0 +1,96 @@
+"""Accepts the clients' connections where `[admission]` is on.
+
+Whom the gate refuses costs a descriptor for a moment and nothing else: no transport is made. While the system
+has no descriptor left, connections wait in the backlog; see `ochreflow.admission.door`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from time import monotonic
+
+from ..admission.door import GIVE_WAY, SHORT, Door
+from ..core.log import log
+from .clients import Clients
+from .connection import ClientConnection
+
+
+class Acceptor:
+    """Owns a listening socket; gives who is let in to the loop."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        sock: socket.socket,
+        made: Callable[[], ClientConnection],
+        clients: Clients,
+    ) -> None:
+        self.loop = loop
+        self.sock = sock
+        self.made = made
+        self.clients = clients
+        self.door = Door()
+        self.connecting: set[asyncio.Task[None]] = set()
+        self.resuming: asyncio.TimerHandle | None = None
+        sock.setblocking(False)
+        loop.add_reader(sock, self._come)
+
+    def _come(self) -> None:
+        """Connections wait."""
+        count = 0
+        for _ in range(self.door.may_accept(monotonic())):
+            try:
+                sock, address = self.sock.accept()
+            except (BlockingIOError, InterruptedError):
+                break  # none is left, or another process of this sidecar took it
+            except ConnectionAbortedError:
+                continue  # its client has left
+            except OSError as error:
+                self._pause(error)
+                return
+            count += 1
+            self._take(sock, str(address[0]))
+        self.door.accepted(count)
+
+    def _take(self, sock: socket.socket, host: str) -> None:
+        client = self.made()
+        if not self.clients.admit(client, host):
+            sock.close()
+            return
+        task = self.loop.create_task(self._connect(client, sock))
+        self.connecting.add(task)
+        task.add_done_callback(self.connecting.discard)
+
+    async def _connect(self, client: ClientConnection, sock: socket.socket) -> None:
+        try:
+            await self.loop.connect_accepted_socket(lambda: client, sock)
+        except OSError:  # it left meanwhile
+            self.clients.never_came(client)
+            sock.close()
+
+    def _pause(self, error: OSError) -> None:
+        """Let what waits for nothing make room, and leave the rest in the backlog for a while."""
+        wait = self.door.short(monotonic())
+        gone = 0
+        if error.errno in SHORT:
+            while gone < GIVE_WAY and self.clients.give_way():
+                gone += 1
+        log.warning("accept_paused", reason=error.strerror or str(error), seconds=wait, closed=gone)
+        self.loop.remove_reader(self.sock)
+        self.resuming = self.loop.call_later(wait, self._resume)
+
+    def _resume(self) -> None:
+        self.resuming = None
+        self.loop.add_reader(self.sock, self._come)
+
+    def close(self) -> None:
+        """Close the own descriptor only: another process may go on listening on the same socket."""
+        if self.sock.fileno() < 0:
+            return
+        if self.resuming is not None:
+            self.resuming.cancel()
+        else:
+            self.loop.remove_reader(self.sock)
+        self.sock.close()
--- a/ochreflow/http/clients.py
+++ b/ochreflow/http/clients.py
@@ -73,6 +73,10 @@
 
     def close(self, key: Client) -> None: ...
 
+    def books(self, now: float) -> list[tuple[str, float]]: ...
+
+    def take_over(self, now: float, books: object) -> None: ...
+
     def first_to_go(self, now: float, keys: Iterable[Client]) -> Client: ...
 
 
@@ -91,15 +95,30 @@
         self.waited: dict[Client, float] = {}
         self.heard: dict[Client, float] = {}
         self.idle: dict[Client, float] = {}
+        self.let_in: set[Client] = set()  # by the gate, and not added yet
+        descriptors.waiting.append(self.give_way)
+
+    def admit(self, client: Client, host: str) -> bool:
+        """Whether the gate, if there is one, lets in a connection from this address."""
+        refusal = self.gate.open(monotonic(), client, host) if self.gate is not None else None
+        if refusal is not None:
+            log.info("connection_refused", address=host, reason=refusal.value)
+            return False
+        self.let_in.add(client)
+        return True
+
+    def never_came(self, client: Client) -> None:
+        """It was let in, and ended before it was added."""
+        self.let_in.discard(client)
+        if self.gate is not None:
+            self.gate.close(client)
 
     def add(self, client: Client) -> None:
         """Take up a new connection, if it is let in; over the clients' share, one of them goes."""
-        if self.gate is not None:
-            refusal = self.gate.open(monotonic(), client, client.host)
-            if refusal is not None:
-                log.info("connection_refused", address=client.host, reason=refusal.value)
-                client.close()
-                return
+        if client not in self.let_in and not self.admit(client, client.host):
+            client.close()
+            return
+        self.let_in.discard(client)
         self.all[client] = None
         self.descriptors.held += 1
         self.descriptors.connected += 1
@@ -176,6 +195,20 @@
             return quiet
         return mute[0] if self.heard[mute[0]] <= now - YOUNG else owing[0]
 
+    def give_way(self) -> bool:
+        """Close one that waits for nothing, for what has been taken; False if every one is owed an answer.
+
+        Guards what was taken against a lack of descriptors: its attempts need some, and so do answers.
+        """
+        could = [one for one in self.idle if one.quiet]
+        could += [one for one in self.heard if not one.serving]
+        if not could:
+            return False
+        going = could[0] if self.gate is None else self.gate.first_to_go(monotonic(), could)
+        self._forget(going)
+        going.close()
+        return True
+
     def sweep(self) -> None:
         """Guards descriptors and memory against clients that never end a message or never come back."""
         now = monotonic()
--- a/ochreflow/http/front.py
+++ b/ochreflow/http/front.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
+from typing import Protocol
 
 from ..core.engine import Engine
 from ..core.ports import Carrier
@@ -13,18 +13,22 @@
 LABEL = "http"
 
 
+class Listening(Protocol):
+    def close(self) -> None: ...
+
+
 class HttpFront:
     def __init__(self, engine: Engine, carrier: Carrier) -> None:
         self.clients = Clients(engine.descriptors)
         self.door = engine.open_door(LABEL, self, carrier)
         self.shared = Shared(engine, self.door, self.clients, Grammar(engine.settings))
-        self.servers: list[asyncio.Server] = []
+        self.servers: list[Listening] = []
 
     def connection(self) -> ClientConnection:
         """The protocol for a new connection."""
         return ClientConnection(self.shared)
 
-    def listen(self, server: asyncio.Server) -> None:
+    def listen(self, server: Listening) -> None:
         """Own a listening socket, whose connections `connection` makes."""
         self.servers.append(server)
 
--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -599,14 +599,15 @@
         self._open(target, exchange)
 
     def _open(self, target: Target, exchange: Exchange) -> None:
-        if self.descriptors.full and not self.close_oldest():
+        if self.descriptors.full and not self.close_oldest() and not self.descriptors.make_room():
             # The own lack says nothing of the server, which must not be held to have failed.
             self.loop.call_soon(exchange.end, Status.MOOT)
             return
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        except OSError:  # out of descriptors in spite of the count: one request less, not the process
-            self.close_oldest()
+        except OSError:  # out of descriptors in spite of the count: room for the repeat, which is due soon
+            if not self.close_oldest():
+                self.descriptors.make_room()
             self.loop.call_soon(exchange.end, Status.MOOT)
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,227 @@
+"""Accepting while descriptors are short, who gives way, and what the next process knows of clients."""
+
+import asyncio
+import contextlib
+import errno
+import signal
+import socket
+from itertools import pairwise
+
+from hypothesis import given
+from hypothesis import strategies as st
+from net_helpers import (
+    HOST,
+    Fake,
+    Sidecar,
+    answer_ok,
+    ask,
+    config,
+    entry,
+    message,
+    news,
+    read_message,
+    run,
+    until,
+)
+from test_operator_file import command
+from test_process import Process
+
+from ochreflow.admission.door import FIRST, MOST, PAUSE_FIRST, PAUSE_MOST, SHORT, Door
+from ochreflow.admission.gate import HANDED, KNOWN_AT, Caps, Gate
+
+GATED = '[operators]\nlisten = "127.0.0.1:0"\n[admission]\non = true\n'
+
+
+def test_a_door_that_found_no_descriptor_pauses_and_opens_by_steps():
+    door = Door()
+    assert door.may_accept(0.0) == MOST
+    assert door.short(1.0) == PAUSE_FIRST
+    assert door.may_accept(1.0) == 0
+    now = 1.0 + PAUSE_FIRST
+    taken = []
+    while not taken or taken[-1] < MOST:
+        taken.append(door.may_accept(now))
+        door.accepted(taken[-1])
+    assert taken[0] == FIRST and all(b <= 2 * a for a, b in pairwise(taken))
+
+
+@given(st.lists(st.tuples(st.booleans(), st.floats(0.0, 1.0)), max_size=60))
+def test_a_door_never_stays_shut_for_long_nor_opens_early(events):
+    door, now, shut = Door(), 0.0, 0.0
+    for short, gap in events:
+        now += gap
+        assert (door.may_accept(now) > 0) == (now >= shut)
+        assert door.may_accept(now) <= MOST
+        if now >= shut:
+            if short:
+                wait = door.short(now)
+                assert PAUSE_FIRST <= wait <= PAUSE_MOST
+                shut = now + wait
+            else:
+                door.accepted(door.may_accept(now))
+
+
+def test_what_is_meant_by_short():
+    assert {errno.EMFILE, errno.ENFILE} <= SHORT and errno.EBADF not in SHORT
+
+
+def test_a_waiting_connection_gives_way_before_one_that_is_owed_an_answer(tmp_path):
+    async def play():
+        async def act(got, reader, writer):
+            await go.wait()
+            await answer_ok(got, reader, writer)
+
+        go = asyncio.Event()
+        node = await Fake(act).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("a", node.address)))) as sidecar:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(message("lookup", "owed"))
+            await until(lambda: node.got)
+            silent = [await asyncio.open_connection(HOST, sidecar.port) for _ in range(2)]
+            clients = sidecar.http.clients
+            await until(lambda: len(clients.all) == 3)
+            descriptors = clients.descriptors
+            assert descriptors.make_room() and descriptors.make_room()
+            for silent_reader, _ in silent:
+                assert await silent_reader.read() == b""
+            assert not descriptors.make_room()  # the one that is left is owed an answer
+            go.set()
+            assert (await read_message(reader)).code == 200
+            writer.close()
+
+    run(play())
+
+
+def test_an_attempt_gets_a_descriptor_though_silent_clients_hold_all(tmp_path):
+    async def play():
+        node = await Fake(answer_ok).start()
+        given = config(news(1, entry("a", node.address)))
+        async with Sidecar(tmp_path / "c", given) as sidecar:
+            clients = sidecar.http.clients
+            silent = [await asyncio.open_connection(HOST, sidecar.port) for _ in range(5)]
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            await until(lambda: len(clients.all) == 6)
+            descriptors = clients.descriptors
+            descriptors.others_held = descriptors.limit - descriptors.held  # another process has the rest
+            assert descriptors.full
+            writer.write(message("order", "k"))
+            got = await read_message(reader)
+            assert got.code == 200 and len(node.got) == 1
+            assert len(clients.all) < 6
+            for _, one in [*silent, (None, writer)]:
+                one.close()
+
+    run(play())
+
+
+def from_address(host):
+    made = socket.socket()
+    made.bind((host, 0))
+    made.setblocking(False)
+    return made
+
+
+def test_without_descriptors_the_process_goes_on_answering_and_ends_as_planned(tmp_path):
+    """A flood that the system's own limit stops: kept connections are answered, in a drain as well."""
+
+    async def play():
+        node = await Fake(answer_ok).start()
+        (tmp_path / "o.toml").write_text(GATED)
+        process = Process(tmp_path / "c", config(news(1, entry("a", node.address))), descriptors=60)
+        process.arguments = ["--config", str(tmp_path / "o.toml")]
+        async with process:
+            reader, writer = await asyncio.open_connection(HOST, process.port)
+            for number in range(int(KNOWN_AT) + 1):
+                writer.write(message("lookup", f"a{number}"))
+                assert (await read_message(reader)).code == 200
+            loop = asyncio.get_running_loop()
+            flood = [from_address(f"127.1.{number}.1") for number in range(100)]
+            for one in flood:
+                await loop.sock_connect(one, (HOST, process.port))
+            await process.heard(b"no descriptor")
+            writer.write(message("order", "b"))
+            assert (await read_message(reader)).code == 200
+            process.process.send_signal(signal.SIGTERM)
+            await process.heard(b"terminating|asked to end")
+            writer.write(message("order", "c"))
+            assert (await read_message(reader)).code == 200
+            for one in flood:
+                one.close()
+            writer.close()
+            assert await process.process.wait() == 0
+
+    run(play())
+
+
+def test_when_descriptors_come_back_new_clients_are_let_in(tmp_path):
+    async def play():
+        node = await Fake(answer_ok).start()
+        (tmp_path / "o.toml").write_text(GATED)
+        process = Process(tmp_path / "c", config(news(1, entry("a", node.address))), descriptors=60)
+        process.arguments = ["--config", str(tmp_path / "o.toml")]
+        async with process:
+            loop = asyncio.get_running_loop()
+            flood = [from_address(f"127.1.{number}.1") for number in range(100)]
+            for one in flood:
+                await loop.sock_connect(one, (HOST, process.port))
+            await process.heard(b"no descriptor")
+            for one in flood:
+                one.close()
+            assert (await ask(process.port, message("order", "d"))).code == 200
+
+    run(play())
+
+
+def test_books_are_handed_over_and_odd_ones_left_aside():
+    old: Gate[int] = Gate(Caps(), lambda: 100)
+    for key, times in ((1, 40), (2, 10), (3, 2)):
+        old.open(0.0, key, f"10.0.0.{key}")
+        for _ in range(times):
+            old.completed(0.0, key)
+    old.close(2)
+    books = old.books(0.0)
+    assert [name for name, _ in books] == ["10.0.0.1", "10.0.0.2"]
+    new: Gate[int] = Gate(Caps(), lambda: 100)
+    new.take_over(5.0, [list(one) for one in books])
+    assert new.books(5.0) == books
+    assert new.books(65.0) == [("10.0.0.1", 20.0), ("10.0.0.2", 5.0)]  # it ages as if it had been earned here
+    for odd in (
+        None,
+        3,
+        "x",
+        [["a"]],
+        [["a", "b"]],
+        [[1, 2.0]],
+        [["a", float("nan")]],
+        [["a", -1]],
+        [["a", 1e300]],
+    ):
+        new.take_over(5.0, odd)
+    assert new.books(5.0) == books
+    new.take_over(5.0, [[f"10.1.{n >> 8}.{n & 255}", 9.0] for n in range(3 * HANDED)])
+    assert len(new.books(5.0)) <= HANDED
+
+
+def test_the_next_process_knows_the_clients_of_this_one(tmp_path):
+    async def play():
+        node = await Fake(answer_ok).start()
+        (tmp_path / "o.toml").write_text(GATED)
+        folder = tmp_path / "shared"
+        folder.mkdir()
+        with contextlib.closing(socket.create_server((HOST, 0))) as listening:
+            port = listening.getsockname()[1]
+            known = config(news(1, entry("a", node.address)))
+            first = Process(tmp_path / "c", known, inherited=listening, folder=folder)
+            second = Process(tmp_path / "d", known, inherited=listening, folder=folder)
+            for process in (first, second):
+                process.arguments = ["--config", str(tmp_path / "o.toml")]
+            async with first:
+                for number in range(2 * int(KNOWN_AT)):
+                    assert (await ask(port, message("lookup", f"a{number}"))).code == 200
+                async with second:
+                    shown = await asyncio.to_thread(
+                        command, "admission", "show", f"{HOST}:{second.operators}"
+                    )
+                    assert "known addresses: 1\n" in shown.stdout, shown.stdout + shown.stderr
+
+    run(play())
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -126,6 +126,7 @@
             held_writer.write(message("order", "held"))
             await until(lambda: fake.got)
             sidecar.process.send_signal(signal.SIGTERM)
+            await sidecar.heard(b"terminating")  # a request may be read before a signal sent before it
             assert (await ask(sidecar.port, READY)).code == 503
             got = await ask(sidecar.port, message("order", "new"))
             assert got.code == 200
