Play the sabotaged builds of the judge's test three at a time

Cause: ten stages at once made each other late on a busy machine, and a good build's answers came up to 50 ms beyond their deadline, which the judge convicts. Change: three at once.

--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -17,6 +17,7 @@
 from ochreflow.lab.stage import Stage
 
 PROGRAM = Path(ochreflow.__file__).parent
+AT_ONCE = 3  # stages; the judge allows an answer 50 ms beyond its deadline
 KINDS = {
     "exposure": {"share": 0.7, "work": 0.045, "repeat": "keyed", "deadline": 2.0},
     "assign": {"share": 0.3, "work": 0.03, "repeat": "unsafe", "deadline": 2.0},
@@ -99,13 +100,15 @@
 
 
 def test_each_sabotaged_build_is_convicted_and_a_good_one_is_not(tmp_path):
-    """All at once: each is little load, and most of its time is waiting."""
+    """A few at once: most of a run is waiting, but all ten would make each other late on a busy machine."""
     assert set(SABOTAGE) == set(RULES)
+    room = asyncio.Semaphore(AT_ONCE)
 
     async def play(name, made, program):
         folder = tmp_path / name
         folder.mkdir()
-        return name, await Stage(made, folder, 1, program).run()
+        async with room:
+            return name, await Stage(made, folder, 1, program).run()
 
     async def play_all():
         runs = [
