Spread calls to discovery by the size of the fleet; repeat freely what reached no server

Forty first calls came within 0.5 s; 23 failed, were repeated within 0.5 to 4 s, and of 89 calls in the first 12 s not one was answered: a call given up had been worked on all the same. The 28 sidecars that a release killed at 11.9 s kept their old list to the end. There they refused a third of all: 300 a second 'budget spent', each after one connect that was refused in 1 ms or one answer 'full' of a draining server, at 5 requests a second and 0.1 repeats earned by each. Of 30 gone servers they had ejected 3 after 5 s, as each had to fail twice. Ruled out: the limit (45 a second) and slow connects. Lines at fault: Fleet.take and watch_later (one spread for any number of sidecars), Repeats.delay (every repeat costs a whole one), Health.learn (two strikes, however rarely a server is asked), Health.trial (no bound on trials). Change: the first call and its repeats are spread over 70 ms for each sidecar; a repeat after attempts that reached no server costs nothing (four attempts and the request's time still bound it), one after refusals as full a quarter; who asks a server less than once a deadline ejects it at the first failed connect; one request in ten tries an ejected one.

--- a/ochreflow/policy/fleet.py
+++ b/ochreflow/policy/fleet.py
@@ -9,7 +9,8 @@
 
 # Asking discovery, as parts of the time within which a sidecar must ask.
 WATCH_SPREAD = 0.05  # the first call and the first repeat of it are spread over this
-WATCH_MOST = 0.4  # ... doubling up to this, so that two calls fit
+WATCH_EACH = 0.007  # ... or over so much for each sidecar, where that is more: one service serves all
+WATCH_MOST = 0.6  # ... doubling up to this
 WATCH_LEAST = 0.1  # of the span at the least, to leave a failing registry alone
 
 
@@ -71,8 +72,8 @@
         """Take a list or changes; return the part of the servers sampled from that is left, at most 1."""
         if event.kind is ListKind.CACHED:
             if self.ctx.settings.must_ask:
-                spread = self.ctx.settings.must_ask_in_ns * WATCH_SPREAD  # restarted ones: not all at once
-                self.ctx.at(self.ctx.now + int(spread * self.ctx.random.random()), WATCH)
+                # Restarted ones: not all at once.
+                self.ctx.at(self.ctx.now + int(self.watch_span() * self.ctx.random.random()), WATCH)
         elif event.kind is ListKind.FAILED:
             self.watching = False
             self.watch_later()
@@ -104,10 +105,19 @@
     def watch_later(self) -> None:
         if not self.ctx.settings.must_ask:
             return
-        span = self.ctx.settings.must_ask_in_ns * min(WATCH_MOST, WATCH_SPREAD * 2**self.watch_fails)
+        span = self.watch_span()
         self.watch_fails += 1
         self.ctx.at(self.ctx.now + int(span * self.ctx.random.uniform(WATCH_LEAST, 1.0)) + 1, WATCH)
 
+    def watch_span(self) -> float:
+        """Over which the next call is spread, in ns.
+
+        Guards against forty sidecars that called a service of ten calls a second within half a second, and
+        again: what waited too long there was worked on all the same, and for whole minutes none got a list.
+        """
+        spread = max(WATCH_SPREAD, WATCH_EACH * self.ctx.settings.fleet_size)
+        return self.ctx.settings.must_ask_in_ns * min(WATCH_MOST, spread * 2**self.watch_fails)
+
     def watch(self) -> None:
         if not self.watching:
             self.ctx.actions.append(Watch(True))
--- a/ochreflow/policy/health.py
+++ b/ochreflow/policy/health.py
@@ -5,7 +5,7 @@
 from .interface import Effect, Outcome, Status
 from .limit import PRESSURE_FULL, Limit
 from .pick import SMOOTHING, Picker
-from .records import Context, Open, Server
+from .records import SECOND, Context, Open, Server
 
 FAILURE_SAMPLE = 4.0  # what a failure counts at least: a fast error must not look like a fast server
 SMOOTHING_SPAN = 3.0  # shortest deadlines after which an old estimate counts half against a new sample
@@ -17,6 +17,7 @@
 OVERDUE_AT_MOST = 0.5  # of the time left: a repeat needs as much as the first try had
 
 STRIKES = 2.0  # consecutive failures without a sign of life in between
+TRIAL_EVERY = 10  # own requests for each that tries an ejected server, however many are due
 HINT_STRIKE = 0.5  # an overdue attempt counts so much: four of them eject
 EJECT_FOR = 1.0  # times the shortest deadline, for the first ejection
 EJECT_GROWTH = 2.0
@@ -37,6 +38,7 @@
         self.fleet = pick.fleet
         self.rules = pick.rules
         self.ejects = ejects  # told of a server that has just been ejected
+        self.since_trial = TRIAL_EVERY  # own requests
         self.has_safe = any(spec.effect is Effect.SAFE for spec in ctx.settings.classes)
 
     def ended(self, event: Outcome) -> Server | None:
@@ -89,7 +91,10 @@
             if status is Status.TIMEOUT and server.last_ok > sent and not lost:
                 self.limit.press(server, cls, took)
             if status is not Status.TIMEOUT:
-                self.strike(server, 1.0, EJECT_SHARE)
+                # Who asks a server less than once a deadline learns too late from a second failure.
+                rarely = self.latency.rate * self.ctx.shortest < self.fleet.ready_count * SECOND
+                once = rarely and status is Status.CONNECT_FAILED
+                self.strike(server, STRIKES if once else 1.0, EJECT_SHARE)
             elif server.last_ok <= sent:
                 self.strike(server, 1.0, EJECT_SHARE_ON_SILENCE)
             else:
@@ -131,8 +136,12 @@
         """An ejected server that is due for one request: of a class safe to repeat, if there is any."""
         if req.attempts or (self.has_safe and req.spec.effect is not Effect.SAFE):
             return None
+        self.since_trial += 1
+        if self.since_trial < TRIAL_EVERY:
+            return None
         for server in self.fleet.ejected:
             if server.trial_at <= self.ctx.now and not server.trial_out and self.rules.may_send(req, server):
+                self.since_trial = 0
                 return server
         return None
 
--- a/ochreflow/policy/repeats.py
+++ b/ochreflow/policy/repeats.py
@@ -11,6 +11,7 @@
 BACKOFF_EXPONENT = 6
 BACKOFF_USEFUL = 0.25  # class means that must be left after the delay: less is hardly ever enough
 RETRY_SHARE = 0.1  # repeats per first try in the long run: bounds amplification when all fails
+REPEAT_FULL = 0.25  # of a repeat is spent on one after refusals as full, which ask little of a server
 RETRY_RESERVE = 10.0  # ... and saved up for this many seconds of traffic, for a sudden loss of servers
 
 
@@ -35,15 +36,19 @@
         ceiling = min(BACKOFF_CAP, BACKOFF_BASE * 2 ** min(req.repeats, BACKOFF_EXPONENT))
         delay = int(self.ctx.random.uniform(BACKOFF_FLOOR, ceiling) * left)
         req.repeats += 1
-        first = not req.attempts  # held for want of any server: not a repeat
+        # Nothing was asked of any server yet: not a repeat. Guards a sidecar that has just started against an
+        # old list: its few first tries had earned no repeats, and all that met gone servers was refused.
+        free = not req.written
+        price = REPEAT_FULL if req.never_ran() else 1.0
         if (
             left <= 0
             or (not req.written and self.ctx.now + delay > req.send_by)
             or delay + BACKOFF_USEFUL * self.latency.base[req.cls] > left
-            or (not first and ((self.tokens < 1.0 and not req.charged) or not self.rules.any_left(req)))
+            or (not free and not req.charged and self.tokens < price)
+            or not self.rules.any_left(req)
         ):
             return None
-        if not first and not req.charged:
-            self.tokens -= 1.0  # when planned, or a lost server's attempts would all spend the last one
+        if not free and not req.charged:
+            self.tokens -= price  # when planned, or a lost server's attempts would all spend the last one
             req.charged = True
         return delay
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -253,6 +253,23 @@
     assert len(starts) > 8
 
 
+def test_many_sidecars_that_start_at_once_ask_over_a_time_that_one_service_bears():
+    """herd+vast: 40 calls in half a second to a service of ten a second; most waited too long."""
+    first, again = [], []
+    for seed in range(40):
+        wanted = settings(must_ask=True, must_ask_in_ns=10 * SECOND, fleet_size=40)
+        balancer, now = Balancer(wanted, seed), START
+        armed = balancer.handle(now, Membership(ListKind.CACHED, 1, [endpoint(1)]))
+        asked = [when for when, a in play_timers(balancer, now, armed, now + 10 * SECOND)]
+        failed = balancer.handle(asked[0], Membership(ListKind.FAILED, 0, []))
+        asked += [when for when, a in play_timers(balancer, asked[0], failed, asked[0] + 10 * SECOND)]
+        first.append(asked[0] - START)
+        again.append(asked[1] - asked[0])
+    for waits in (first, again):
+        assert max(sum(at <= wait < at + SECOND for wait in waits) for at in waits) <= 25
+        assert max(waits) < 6 * SECOND
+
+
 def test_odd_input_is_harmless():
     balancer, now = make(tenants=[Tenant("t", 1.0, 10.0)], can_tell=True, fleet_size=2)
     for event in (
