--- a/tests/test_little.py
+++ b/tests/test_little.py
@@ -1,5 +1,6 @@
 """Sidecars that see little: one small test for each failure found at full size."""
 
+import pytest
 from helpers import MS, SECOND, START, endpoint, kinds, play_timers, request, send_one, serve
 from helpers import make as make_any
 
@@ -160,3 +161,43 @@
                 balancer.handle(now + latency, done)
     assert refused["before"] == refused["after"] == 0
     assert 4 < refused["crowded"] < 36
+
+
+@pytest.mark.parametrize("servers, failures", [(60, 1), (6, 2)])
+def test_who_asks_a_server_rarely_avoids_it_after_one_failed_connect(servers, failures):
+    """herd+vast: of thirty gone servers a sidecar had found three after 5 s, as each had to fail it twice."""
+    balancer, now = make_any(servers=servers, effect=Effect.UNSAFE, fleet_size=40)
+    for ident in range(100):
+        now += 50 * MS
+        sent = send_one(balancer, now, ident)
+        balancer.handle(now, Outcome(ident, 0, sent.server, Status.OK, MS, True))
+    server = balancer.fleet.servers[sent.server]
+    for failure in range(1, failures + 1):
+        assert not server.ejected
+        send_to(balancer, now, 1000 + failure, server)
+        balancer.handle(now, Outcome(1000 + failure, 0, server.id, Status.CONNECT_FAILED, MS, True))
+    assert server.ejected
+
+
+def send_to(balancer, now, ident, server):
+    """An attempt at this server, whatever the pick would say."""
+    balancer.handle(now, request(ident, now))
+    balancer.open[ident].attempts[-1][0].out.pop((ident, 0), None)
+    server.out[(ident, 0)] = (now, 0)
+
+
+def test_a_server_that_only_errs_is_soon_no_spare_for_what_would_be_refused():
+    """zone+vast: each sidecar sent seven such requests to each bad server, which failed them."""
+    balancer, now = make_any(servers=60, effect=Effect.UNSAFE, fleet_size=40)
+    sent = send_one(balancer, now, 1)
+    server = balancer.fleet.servers[sent.server]
+    balancer.handle(now, Outcome(1, 0, server.id, Status.ERROR, MS, False))
+    balancer.handle(now, request(2, now))
+    req = balancer.open[2]
+    req.attempts.clear()
+    given = 0
+    while not server.ejected or balancer.health.spare(req) is server:
+        given += 1
+        send_to(balancer, now, 10 + given, server)
+        balancer.handle(now, Outcome(10 + given, 0, server.id, Status.ERROR, MS, True))
+    assert server.ejected and given <= 2
