--- a/ochreflow/policy/health.py
+++ b/ochreflow/policy/health.py
@@ -25,7 +25,7 @@
 EJECT_JITTER = 0.3  # either way: sidecars must not try a server together
 EJECT_SHARE = 0.7  # of the ready servers, on broken connections; beyond it, suspect oneself and spread
 EJECT_SHARE_ON_SILENCE = 0.34  # on missing answers alone: if a third is silent, it is load
-SOUND_SMOOTHING = 0.3  # weight of a new answer of one server in its part of answers that are no errors
+SOUND_SMOOTHING = 0.1  # weight of a new answer of one server in its part of answers that are no errors
 SOUND_LEAST = 0.5  # of it, for a server to be of use in need: it does more good than harm
 
 
