Send nothing on for a client that has left unread, and answer up to the very end

Cause, found in the review of endings and forced by tests: (1) a client that sends far ahead is read no further (http/connection.py, _update_reading), so its end lies behind unread bytes; its requests went on being sent as answers came, and one that waited was held to its deadline. (2) A request that lies whole in the backlog with its client's end behind it was written to a server on a kept connection before that end was read (_pump). (3) An attempt written in part was left to run where the settings allow no calling off (Engine._abandon knew only bodies still coming). (4) At SIGTERM answer_all ran once; what came in the 0.3 s after it was held by nobody (Lifecycle). A half-close is taken for leaving. Ruled out by a test: an answer written in the turn of the end is not lost.

--- a/ochreflow/core/engine.py
+++ b/ochreflow/core/engine.py
@@ -340,8 +340,10 @@
     def _abandon(self, held: Held) -> None:
         """Give up what is out for a request whose client or body is gone."""
         for attempt in self._out(held):
-            if attempt.carriage is not None and (held.uploading or held.relaying is attempt):
-                attempt.carriage.give_up(Status.CANCELLED)
+            carriage = attempt.carriage
+            # What is written in part is cut, so that it can't run any more.
+            if carriage is not None and (not carriage.may_run or held.relaying is attempt):
+                carriage.give_up(Status.CANCELLED)
 
     def _guard(self, held: Held) -> None:
         """Time is up: whatever the module still plans, the client gets its answer now."""
--- a/ochreflow/core/lifecycle.py
+++ b/ochreflow/core/lifecycle.py
@@ -43,6 +43,7 @@
         self.phase = Phase.STARTING
         self.emptying = False  # idle connections are closed, and what still comes is turned away
         self.sending_away = False  # the end is so near that clients do better elsewhere
+        self.answered = False  # the end is so near that nothing held goes on, and nothing new begins
         self.accepting = False
         self.stopped: asyncio.Future[None] = loop.create_future()
         self.emptier: asyncio.TimerHandle | None = None
@@ -59,8 +60,12 @@
 
     @property
     def turns_away(self) -> bool:
-        """Whether a drain is so far on that a new request would hold it up."""
-        return self.phase is Phase.DRAINING and self.emptying
+        """Whether a drain, or the end, is so far on that a new request would hold it up.
+
+        Guards the end against a request that comes when all that was held has just been answered: nobody
+        would look after it any more, and it would end with the process.
+        """
+        return self.answered or (self.phase is Phase.DRAINING and self.emptying)
 
     @property
     def connected(self) -> int:
@@ -128,7 +133,7 @@
             self.sending_away = True
         else:
             self.loop.call_later(max(self.kill_after - LEAVE_BEFORE_KILL, 0.0), self._send_away)
-        self.loop.call_later(max(self.kill_after - ANSWER_BEFORE_KILL, 0.0), self.answer_all)
+        self.loop.call_later(max(self.kill_after - ANSWER_BEFORE_KILL, 0.0), self._answer_all)
         self.loop.call_later(max(self.kill_after - STOP_BEFORE_KILL, 0.0), self._stop)
 
     def _stop_accepting(self) -> None:
@@ -142,6 +147,10 @@
         if not self.accepting:
             self._empty()
 
+    def _answer_all(self) -> None:
+        self.answered = True
+        self.answer_all()
+
     def client_left(self) -> None:
         self._end_if_done()
 
--- a/ochreflow/core/ports.py
+++ b/ochreflow/core/ports.py
@@ -107,6 +107,11 @@
         """Whether a first byte of it has gone out."""
         ...
 
+    @property
+    def may_run(self) -> bool:
+        """Whether its last byte has gone out."""
+        ...
+
     def wait(self, seconds: float) -> None:
         """Give it up after so long."""
         ...
--- a/ochreflow/http/connection.py
+++ b/ochreflow/http/connection.py
@@ -17,7 +17,7 @@
 from ..core.stats import Disposition
 from .clients import Clients
 from .grammar import Grammar, HttpCall, RequestError
-from .progress import Patience, unread
+from .progress import Patience, peer_gone, unread
 from .upstream import HOP_BY_HOP, Answer
 
 BODY_MOST = 40 * 1024 * 1024  # messages reach 32 MB
@@ -201,6 +201,19 @@
         paused, self.was_paused = self.was_paused, False
         return None if paused else came
 
+    def close_if_gone(self) -> bool:
+        """Close it if its client has left, which shows in no other way while nothing is read.
+
+        A client that has ended only its own sending is taken for one that has left: the protocol says that
+        one that closes has gone away, and from here both look alike until something is written.
+        """
+        if self.closed or self.transport is None or self.transport.is_closing():
+            return True
+        if not peer_gone(self.transport):
+            return False
+        self.close()
+        return True
+
     # The transport's calls
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -404,6 +417,7 @@
         if stop == self.paused:
             return
         self.paused = stop
+        self.clients.note_paused(self)
         if stop:
             self.was_paused = True
             self.transport.pause_reading()
@@ -444,6 +458,8 @@
         self.pumping = True
         try:
             while self.waiting and self.current is None and not self.unread and not self.closed:
+                if isinstance(self.waiting[0], HttpCall) and self.close_if_gone():
+                    break  # its end may lie behind what has just been read, or was not read at all
                 item = self.waiting.popleft()
                 if isinstance(item, HttpCall):
                     self.current = item
--- a/ochreflow/http/progress.py
+++ b/ochreflow/http/progress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import sys
 import termios
 from collections.abc import Callable
@@ -24,6 +25,16 @@
     return int.from_bytes(ioctl(fd, termios.FIONREAD, NOTHING), sys.byteorder) if fd >= 0 else 0
 
 
+def peer_gone(transport: asyncio.Transport) -> bool:
+    """Whether the peer has ended its sending or reset the connection, also behind bytes not read yet."""
+    fd = transport.get_extra_info("socket").fileno()
+    if fd < 0:
+        return True
+    poll = select.poll()
+    poll.register(fd, select.POLLRDHUP)  # a reset and an end of both ways are always told
+    return bool(poll.poll(0))
+
+
 class Patience:
     """Watches what waits to be written; a peer that takes nothing of it for so long is given up."""
 
--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -116,6 +116,11 @@
         """Whether a first byte has gone out."""
         return self.connection is not None
 
+    @property
+    def may_run(self) -> bool:
+        """Whether its last byte has gone out."""
+        return self.connection is not None and not self.connection.unwritten
+
     def end(self, status: Status, answer: Answer | None = None) -> None:
         # Guards the memory as well: who waits refers to this, and would else be left to the collector.
         done, self.done = self.done, None
--- a/tests/line_front.py
+++ b/tests/line_front.py
@@ -20,6 +20,7 @@
     def __init__(self, carrier, address, call, watcher):
         self.carrier, self.address, self.call, self.watcher = carrier, address, call, watcher
         self.begun = False
+        self.may_run = False
         self.transport = None
         self.timer = None
         self.task = carrier.loop.create_task(self.go())
@@ -37,7 +38,11 @@
             return
         self.transport = transport
         self.begun = True
+        if self.carrier.writes_in_part:
+            transport.write(self.call.name)
+            return
         transport.write(b"%s\n" % self.call.name)
+        self.may_run = True
         self.watcher.written()
 
     def data_received(self, data):
@@ -73,6 +78,7 @@
         self.loop = loop
         self.addresses = {}
         self.waiting = {}
+        self.writes_in_part = False  # for tests that want an attempt whose last byte has not gone out
         self.gate = asyncio.Event()
         self.gate.set()
 
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,166 @@
+"""The instants in which something is still owed: each crossing is held by a peer and let go by the test."""
+
+import asyncio
+import socket
+
+import pytest
+from line_front import Both, LineClient, LineFront
+from net_helpers import (
+    HOST,
+    WAIT,
+    Fake,
+    Sidecar,
+    answer_ok,
+    ask,
+    config,
+    entry,
+    message,
+    news,
+    read_message,
+    reply,
+    reset,
+    run,
+    until,
+)
+
+from ochreflow.core import lifecycle
+from ochreflow.http.connection import WAITING_MOST
+
+SOON = 2.0  # seconds: the rule wants 0.3 from the leaving to the last send, the deadline would end all at 3
+
+
+async def leave(writer, how):
+    if how == "reset":
+        reset(writer)
+    elif how == "half-close":
+        writer.write_eof()
+    else:
+        writer.close()
+
+
+@pytest.mark.parametrize("how", ["close", "reset", "half-close"])
+def test_what_waits_behind_others_is_not_sent_once_its_client_has_left_unread(tmp_path, how):
+    """So many wait that the client is read no further: its end lies behind bytes that nobody reads."""
+
+    async def play():
+        async def hold(message, reader, writer):
+            await go.wait()
+            writer.write(reply(200, b"late"))
+
+        go = asyncio.Event()
+        fake = await Fake(hold).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            _, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(b"".join(message("order", f"id{n}") for n in range(WAITING_MOST + 4)))
+            clients = sidecar.http.clients
+            await until(lambda: fake.got and all(client.paused for client in clients.all))
+            # More than is read of it now, so that the end is behind unread bytes in any case.
+            writer.write(b"".join(message("order", f"more{n}") for n in range(400)))
+            await writer.drain()
+            await leave(writer, how)
+            async with asyncio.timeout(SOON):
+                await until(lambda: not clients.all, "its client is known to have left")
+            go.set()
+            assert (await ask(sidecar.port, message("order", "other"))).code == 200
+        assert [got.headers["x-request-id"] for got in fake.got] == ["id0", "other"]
+        writer.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize("how", ["close", "half-close"])
+def test_a_request_whose_client_left_before_it_was_accepted_is_not_sent(tmp_path, how):
+    """It lies in the backlog of the listening socket, whole, with its client's end behind it."""
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            # A connection to the server stands idle: what is taken is written at once.
+            assert (await ask(sidecar.port, message("order", "first"))).code == 200
+            with socket.create_server((HOST, 0)) as door:
+                port = door.getsockname()[1]
+                _, writer = await asyncio.open_connection(HOST, port)
+                writer.write(message("order", "gone"))
+                await writer.drain()
+                await leave(writer, how)
+                came = []
+
+                def connection():
+                    came.append(sidecar.http.connection())
+                    return came[-1]
+
+                server = await asyncio.get_running_loop().create_server(connection, sock=door)
+                await until(lambda: came and came[0].closed)
+                server.close()
+            assert (await ask(sidecar.port, message("order", "other"))).code == 200
+        assert [got.headers["x-request-id"] for got in fake.got] == ["first", "other"]
+        writer.close()
+
+    run(play())
+
+
+def test_what_is_written_in_part_is_cut_when_its_client_leaves_even_where_nothing_may_be_called_off(tmp_path):
+    async def play():
+        server = await Both(lambda name: "ok").start()
+        data = config(news(1, entry("s1", server.address)))
+        data["settings"]["ceilings"]["cancel"] = False
+        async with Sidecar(tmp_path / "c", data) as sidecar:
+            loop = asyncio.get_running_loop()
+            lines = LineFront(sidecar.engine, loop)
+            lines.carrier.writes_in_part = True
+            lines.server = await loop.create_server(lambda: LineClient(lines), HOST, 0)
+            _, writer = await asyncio.open_connection(HOST, lines.server.sockets[0].getsockname()[1])
+            writer.write(b"order half 3000\n")
+            carriages = lines.carrier.waiting
+            await until(lambda: any(carriage.begun for made in carriages.values() for carriage in made))
+            writer.close()
+            async with asyncio.timeout(SOON):
+                await until(lambda: not sidecar.engine.held and not sidecar.engine.attempts)
+            (carriage,) = next(iter(carriages.values()))
+            assert carriage.watcher is None and carriage.transport.is_closing()
+
+    run(play())
+
+
+def test_a_request_that_comes_after_all_held_ones_were_answered_gets_its_answer_too(tmp_path, monkeypatch):
+    """The server hangs; the client whose answer the end gave at once sends again on another connection."""
+    monkeypatch.setattr(lifecycle, "ANSWER_BEFORE_KILL", 4.6)  # 0.1 s after SIGTERM with deadlines of 4 s
+    monkeypatch.setattr(lifecycle, "DEADLINE_MOST", 4.0)
+
+    async def play():
+        async def hang(message, reader, writer):
+            await reader.read()
+
+        fake = await Fake(hang).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            open_before = await asyncio.open_connection(HOST, sidecar.port)
+            held = asyncio.create_task(ask(sidecar.port, message("order", "held")))
+            await until(lambda: fake.got)
+            await until(lambda: len(sidecar.http.clients.all) == 2)
+            sidecar.engine.lifecycle.terminate()
+            assert (await held).code in (502, 504)
+            open_before[1].write(message("order", "again"))
+            async with asyncio.timeout(WAIT):
+                got = await read_message(open_before[0])
+            assert got.code == 503 and not sidecar.engine.held
+            assert sidecar.engine.lifecycle.stopped.done() is False  # answered before, not by the end
+            open_before[1].close()
+        assert len(fake.got) == 1
+
+    run(play())
+
+
+def test_an_answer_that_is_written_in_the_turn_of_the_end_still_reaches_its_client(tmp_path):
+    async def play():
+        async def hang(message, reader, writer):
+            await reader.read()
+
+        fake = await Fake(hang).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            held = asyncio.create_task(ask(sidecar.port, message("order", "held")))
+            await until(lambda: fake.got)
+            sidecar.engine.lifecycle.answer_all()  # what it writes waits for the turn to end
+            sidecar.close()
+            assert (await held).code in (502, 504)
+
+    run(play())
