--- a/ochreflow/membership/silence.py
+++ b/ochreflow/membership/silence.py
@@ -16,9 +16,7 @@
 from dataclasses import dataclass
 
 WAIT_MS = 20_000  # of a watch with nothing to tell: each sidecar then costs discovery three calls a minute
-TOLD_AFTER = (
-    2.0  # seconds beyond a call's wait, by the protocol, until what it would have told counts as told
-)
+TOLD_AFTER = 2.0  # seconds beyond a call's wait: what it would have told then counts as told, by the protocol
 OVERDUE_PART = 0.5  # of the drain grace; the other half is for an answer that takes longer than it should
 OVERDUE_LEAST = 0.05  # seconds, for a grace of nearly none: the slack that every limit has by the protocol
 AGAIN_PART = 0.25  # of the drain grace: a drain told in the gap, and the answer, leave most of it
