--- a/ochreflow/policy/logic.py
+++ b/ochreflow/policy/logic.py
@@ -16,10 +16,11 @@
 from .interface import Action, Effect, Event, Outcome, Request, Settings, Status
 from .latency import Latencies
 from .limit import Limit
+from .pace import Pace
 from .pick import Picker
 from .records import MAY_HAVE_RUN, NEVER_RAN, OUT, OVERDUE, REPEAT, WATCH, Context, Open, Server
 from .repeats import Repeats
-from .rules import Pace, Rules
+from .rules import Rules
 from .shares import Shares
 
 RETRY_AFTER = 0.5  # of the time left or to the aim, as advice with a refusal: a new try has the other half
--- a/tests/test_compare.py
+++ b/tests/test_compare.py
@@ -60,8 +60,8 @@
 
 
 def test_builds_are_had_or_refused_in_one_line(tmp_path):
-    made = make(".,policy/health.py:STRIKES=9.5,policy/rules.py:PACE=1.0", tmp_path / "a")
-    text = "".join((made / "ochreflow/policy" / name).read_text() for name in ("health.py", "rules.py"))
+    made = make(".,policy/health.py:STRIKES=9.5,policy/pace.py:PACE=1.0", tmp_path / "a")
+    text = "".join((made / "ochreflow/policy" / name).read_text() for name in ("health.py", "pace.py"))
     assert "\nSTRIKES = 9.5\n" in text and "\nPACE = 1.0\n" in text
     for number, (wrong, said) in enumerate(
         [
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -32,9 +32,10 @@
     Tenant,
     Timer,
 )
+from ochreflow.policy.pace import Pace
 from ochreflow.policy.pick import Picker
 from ochreflow.policy.repeats import Repeats
-from ochreflow.policy.rules import Pace, Rules
+from ochreflow.policy.rules import Rules
 
 TICK = 5 * MS
 STATUSES = [Status.OK] * 6 + [
