Give back the pace of an attempt whose connection never came up

The pace to a cold server was spent when an attempt was decided, also where its connection never came up and the server had no work of it. Pace.give_back credits it, unless the server has started anew since; the caller in policy/logic.py is not part of this change. tests/test_pace.py fails without the check of the start (seen).

--- a/ochreflow/policy/pace.py
+++ b/ochreflow/policy/pace.py
@@ -28,6 +28,14 @@
         if server.cold_at:
             server.cold_tokens = min(server.cold_tokens, 0.0)
 
+    def give_back(self, server: Server, cls: int, sent: int) -> None:
+        """An attempt whose connection never came up has cost the server nothing: its pace is given back.
+
+        `sent` is when it was decided, in ns. What an earlier life of the server was spared is not this one's.
+        """
+        if server.cold_at and sent >= server.started:
+            server.cold_tokens += self.latency.cost(cls)
+
     def ramp(self, server: Server) -> float:
         """The least part of its capacity that a server has by now, by the settings."""
         start, warm = self.ctx.settings.start_capacity, self.ctx.settings.warm_within_ns
