--- /dev/null
+++ b/tests/known_red.py
@@ -0,0 +1,129 @@
+"""The tests that KNOWN-RED.txt lists are expected to fail; the list itself is tested too (see DEVELOPERS.md).
+
+A complete entry among the first `MOST` is pytest's own strict `xfail`: its test is run, its failure does
+not count, its passing does. No other test may be passed over so. The list is collected as a test file
+(`testpaths` names it), an entry a test: so the whole run judges it and ends in pytest's closing line, and a
+run of one test file does not judge entries of others.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+
+MOST = 3
+
+
+@dataclass(frozen=True)
+class Entry:
+    line: int  # counted from 1
+    test: str  # pytest's id of it
+    cause: str
+    issue: str
+
+    def __str__(self) -> str:
+        return " | ".join((self.test, self.cause, self.issue))
+
+    def missing(self) -> list[str]:
+        return [name for name in ("test", "cause", "issue") if not getattr(self, name)]
+
+
+def entries(text: str) -> list[Entry]:
+    """Split from the right: the id of a test may hold what separates."""
+    found = []
+    for number, line in enumerate(text.splitlines(), 1):
+        if line.strip() and not line.lstrip().startswith("#"):
+            parts = [part.strip() for part in line.rsplit("|", 2)]
+            found.append(Entry(number, *parts, *[""] * (3 - len(parts))))
+    return found
+
+
+class EntryError(Exception):
+    """An entry that can't stand."""
+
+
+class EntryItem(pytest.Item):
+    """One entry, judged when all tests are collected."""
+
+    def __init__(self, *, entry: Entry, known_red: "KnownRed", **given) -> None:
+        super().__init__(**given)
+        self.entry, self.known_red = entry, known_red
+
+    def runtest(self) -> None:
+        found = self.known_red.faults(self.entry)
+        if found:
+            raise EntryError(f"line {self.entry.line}: {'; '.join(found)}: {self.entry}")
+
+    def repr_failure(self, excinfo: pytest.ExceptionInfo[BaseException], style=None):
+        return str(excinfo.value) if excinfo.errisinstance(EntryError) else super().repr_failure(excinfo)
+
+    def reportinfo(self) -> tuple[Path, int, str]:
+        return self.path, self.entry.line - 1, self.name
+
+
+class ListFile(pytest.File):
+    known_red: "KnownRed"
+
+    def collect(self) -> Iterator[EntryItem]:
+        for entry in self.known_red.entries:
+            yield EntryItem.from_parent(
+                self, name=f"line {entry.line}", entry=entry, known_red=self.known_red
+            )
+
+
+class KnownRed:
+    """The plugin; `conftest.py` registers it."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.entries = entries(path.read_text()) if path.exists() else []
+        self.expected = {entry.test: entry for entry in self.entries[:MOST] if not entry.missing()}
+        self.collected: set[str] = set()
+
+    def faults(self, entry: Entry) -> list[str]:
+        found = [f"no {name}" for name in entry.missing()]
+        place = self.entries.index(entry)
+        if place >= MOST:
+            found.append(f"entry {place + 1} of {MOST} at most")
+        if entry.test in [other.test for other in self.entries[:place]]:
+            found.append("listed before")
+        if entry.test and entry.test not in self.collected:
+            found.append("names no collected test")
+        return found
+
+    def pytest_collect_file(self, file_path: Path, parent: pytest.Collector) -> pytest.Collector | None:
+        if file_path != self.path:
+            return None
+        file = ListFile.from_parent(parent, path=file_path)
+        file.known_red = self
+        return file
+
+    def pytest_itemcollected(self, item: pytest.Item) -> None:
+        self.collected.add(item.nodeid)
+        if entry := self.expected.get(item.nodeid):
+            reason = f"{entry.cause} ({entry.issue})"
+            item.add_marker(pytest.mark.xfail(strict=True, reason=reason), append=False)
+
+    @pytest.hookimpl(wrapper=True, tryfirst=True)
+    def pytest_runtest_makereport(self, item: pytest.Item, call: pytest.CallInfo):
+        """What is neither seen to fail nor to pass: a listed test skipped, another one expected to fail."""
+        report = yield
+        listed = item.nodeid in self.expected
+        forgiven = report.skipped and hasattr(report, "wasxfail")
+        if listed and report.skipped and not forgiven:
+            report.outcome, report.longrepr = "failed", f"in {self.path.name}, but skipped: {item.nodeid}"
+        elif forgiven and not listed:
+            del report.wasxfail
+            report.outcome, report.longrepr = (
+                "failed",
+                f"fails, and is not in {self.path.name}: {item.nodeid}",
+            )
+        return report
+
+    def pytest_terminal_summary(self, terminalreporter) -> None:
+        met = [entry for test, entry in self.expected.items() if test in self.collected]
+        if met:
+            terminalreporter.section(f"known red ({self.path.name})")
+        for entry in met:
+            terminalreporter.write_line(str(entry))
