Judge the sabotaged builds and the failures on sockets in simulated time

Two tests judged whole scenarios in real time and were flaky: on a busy machine a good build was 0.14 s late, and a run in which the clients themselves fell behind was void and judged nothing. Both now play the whole program with nodes, directory and clients over loopback sockets in one loop, whose clock stands still while bytes are under way and leaps to the next timer when all is quiet; each build is a process of its own. What the program's own work takes is not judged there; `lab run` and tests/test_process.py still play the program as a process with its own loop.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,25 +1,23 @@
 """Each failure that the documents name, by its name: it comes about, twice the same, and breaks no rule."""
 
-import asyncio
 from collections import Counter, defaultdict
+from concurrent.futures import ThreadPoolExecutor
 from itertools import pairwise
 from statistics import median
 
 import msgspec
 import pytest
-import uvloop
-from test_scenarios import scenario
+from simulated import play
+from test_scenarios import AT_ONCE, scenario
 
 from ochreflow.lab.judge import SECOND
 from ochreflow.lab.ledger import read
 from ochreflow.lab.scenario import Burst
-from ochreflow.lab.stage import Stage
 from ochreflow.rehearsal.build import load
 from ochreflow.rehearsal.clock import BEGIN
 from ochreflow.rehearsal.play import Rehearsal
 
 SECONDS, RATE = 8.0, 70
-AT_A_TIME = 7
 
 
 def made(*steps, **more):
@@ -127,27 +125,18 @@
     assert seen(events)
 
 
-async def play_all(folder):
-    """Some at a time: each is little load."""
-    stages = {}
-    turn = asyncio.Semaphore(AT_A_TIME)
-
-    async def play(stage):
-        async with turn:
-            return await stage.run()
-
-    for number, (name, (given, _)) in enumerate(FAILURES.items()):
-        (folder / str(number)).mkdir()
-        stages[name] = Stage(given, folder / str(number), 4)
-    played = await asyncio.gather(*(play(stage) for stage in stages.values()))
-    return stages, dict(zip(stages, played, strict=True))
+def test_on_sockets_each_comes_about_and_breaks_no_rule(tmp_path):
+    """The whole program on loopback sockets, in simulated time (`simulated.py`): no run is void."""
 
+    def judged(name):
+        folder = tmp_path / name
+        folder.mkdir()
+        return name, play(FAILURES[name][0], folder, 4)
 
-def test_on_sockets_each_comes_about_and_breaks_no_rule(tmp_path):
-    stages, played = uvloop.run(play_all(tmp_path))
+    with ThreadPoolExecutor(AT_ONCE) as room:
+        played = dict(room.map(judged, FAILURES))
     for name, (_, seen) in FAILURES.items():
-        run = {path.stem: list(read(path)) for path in stages[name].folder.glob("*.jsonl")}
-        assert not played[name].crashed, name
-        if not played[name].void:  # else the machine was too slow for the clients themselves
-            assert not played[name].report.findings, name
-            assert seen(run), name
+        run = {path.stem: list(read(path)) for path in (tmp_path / name).glob("*.jsonl")}
+        assert not played[name].crashed, (name, played[name].crashed[:3])
+        assert not played[name].findings, (name, played[name].findings[:3])
+        assert seen(run), name
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,23 +1,22 @@
-"""Scenarios on real processes: a good build keeps every rule, each sabotaged one breaks its own."""
+"""Scenarios on the whole program: a good build keeps every rule, each sabotaged one breaks its own."""
 
-import asyncio
 import json
 import shutil
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import msgspec
 import pytest
-import uvloop
+from simulated import play
 from test_operator_file import command
 
 import ochreflow
 from ochreflow.lab.judge import RULES
 from ochreflow.lab.runs import worth
 from ochreflow.lab.scenario import Burst, Scenario, ScenarioError, names, read_scenario, times
-from ochreflow.lab.stage import Stage
 
 PROGRAM = Path(ochreflow.__file__).parent
-AT_ONCE = 3  # stages; the judge allows an answer 50 ms beyond its deadline
+AT_ONCE = 3  # builds that play beside each other, a process each
 KINDS = {
     "exposure": {"share": 0.7, "work": 0.045, "repeat": "keyed", "deadline": 2.0},
     "assign": {"share": 0.3, "work": 0.03, "repeat": "unsafe", "deadline": 2.0},
@@ -100,33 +99,25 @@
 
 
 def test_each_sabotaged_build_is_convicted_and_a_good_one_is_not(tmp_path):
-    """A few at once: most of a run is waiting, but all ten would make each other late on a busy machine."""
+    """In simulated time (`simulated.py`): a busy machine makes no build late, and excuses none."""
     assert set(SABOTAGE) == set(RULES)
-    room = asyncio.Semaphore(AT_ONCE)
 
-    async def play(name, made, program):
+    def judged(name, made, program):
         folder = tmp_path / name
         folder.mkdir()
-        async with room:
-            return name, await Stage(made, folder, 1, program).run()
-
-    async def play_all():
-        runs = [
-            play(f"good {number}", made, None)
-            for number, made in enumerate((TROUBLED, DRAINED, KILLED, COLD))
-        ]
-        for number, (rule, (file, old, new, made)) in enumerate(SABOTAGE.items()):
-            runs.append(play(rule, made, sabotaged(tmp_path / f"program {number}", file, old, new)))
-        return dict(await asyncio.gather(*runs))
-
-    played = uvloop.run(play_all())
+        return name, play(made, folder, 1, program)
+
+    runs = [(f"good {number}", made, None) for number, made in enumerate((TROUBLED, DRAINED, KILLED, COLD))]
+    for number, (rule, (file, old, new, made)) in enumerate(SABOTAGE.items()):
+        runs.append((rule, made, sabotaged(tmp_path / f"program {number}", file, old, new)))
+    with ThreadPoolExecutor(AT_ONCE) as room:
+        played = dict(room.map(lambda one: judged(*one), runs))
     for name, run in played.items():
-        broken = {finding.rule for finding in run.report.findings}
         if name in SABOTAGE:
-            assert name in broken, name
+            assert name in run.broken, name
         else:
-            assert not run.report.findings and not run.crashed, name
-        assert sum(counts["asked"] for counts in run.report.by_class.values()) > 100
+            assert not run.findings and not run.crashed, (name, run.findings[:3], run.crashed[:3])
+        assert run.asked > 100
 
 
 def test_the_library_is_fine_and_the_command_plays_it(tmp_path):
