See within 25 ms that a client which is not read has hung up, and answer whether one has gone

One system call for each connection made each look dear. Change: HangupWatch (http/progress.py) asks for all that are not read with one poll, four times in the 0.1 s of the rule, and only while there are any. ClientConnection.gone tells whoever is about to write an attempt whether its client has left, as far as can be read at this instant: with the end unread in the socket of a busy loop, behind pipelined bytes, with reading paused; by close, reset or half-close. It closes the connection of one that has.

--- a/ochreflow/http/clients.py
+++ b/ochreflow/http/clients.py
@@ -50,8 +50,6 @@
     @property
     def host(self) -> str: ...
 
-    def close_if_gone(self) -> bool: ...
-
     def came_since_look(self) -> int | None: ...
 
     def expire(self) -> None: ...
@@ -97,7 +95,6 @@
         self.waited: dict[Client, float] = {}
         self.heard: dict[Client, float] = {}
         self.idle: dict[Client, float] = {}
-        self.paused: set[Client] = set()  # those that are not read at present: their end is looked for
         self.let_in: set[Client] = set()  # by the gate, and not added yet
         descriptors.waiting.append(self.give_way)
 
@@ -133,7 +130,6 @@
 
     def remove(self, client: Client) -> None:
         self._forget(client)
-        self.paused.discard(client)
         if client in self.all:
             del self.all[client]
             self.descriptors.held -= 1
@@ -141,13 +137,6 @@
         if self.gate is not None:
             self.gate.close(client)
 
-    def note_paused(self, client: Client) -> None:
-        """Whether a connection is being read has changed."""
-        if client.paused:
-            self.paused.add(client)
-        else:
-            self.paused.discard(client)
-
     def _forget(self, client: Client) -> None:
         for places in (self.waited, self.heard, self.idle):
             places.pop(client, None)
@@ -234,8 +223,6 @@
         for client in _since(self.idle, now - self.times.idle):
             if client.quiet:
                 client.close()
-        for client in list(self.paused):
-            client.close_if_gone()
 
     def close_quiet(self) -> None:
         """Close every connection on which nothing is open, has begun or waits to be read.
--- a/ochreflow/http/connection.py
+++ b/ochreflow/http/connection.py
@@ -17,7 +17,7 @@
 from ..core.stats import Disposition
 from .clients import Clients
 from .grammar import Grammar, HttpCall, RequestError
-from .progress import Patience, peer_gone, unread
+from .progress import HangupWatch, Patience, peer_gone, unread
 from .upstream import HOP_BY_HOP, Answer
 
 BODY_MOST = 40 * 1024 * 1024  # messages reach 32 MB
@@ -126,6 +126,7 @@
     door: Door
     clients: Clients
     grammar: Grammar
+    hangups: HangupWatch  # of those that are not read at present
 
 
 class ClientConnection(asyncio.Protocol):
@@ -202,10 +203,12 @@
         return None if paused else came
 
     def close_if_gone(self) -> bool:
-        """Close it if its client has left, which shows in no other way while nothing is read.
+        """Close it if its client has left, as far as can be read at this instant; whether it has.
 
-        A client that has ended only its own sending is taken for one that has left: the protocol says that
-        one that closes has gone away, and from here both look alike until something is written.
+        The end may lie unread in the socket, behind other bytes or not: since the loop was busy, or since
+        nothing is read at present. A client that has ended only its own sending is taken for one that has
+        left: the protocol says that one that closes has gone away, and from here both look alike until
+        something is written.
         """
         if self.closed or self.transport is None or self.transport.is_closing():
             return True
@@ -270,6 +273,8 @@
         # them all to the collector, which comes seldom.
         del self.parser
         self.clients.remove(self)
+        if self.transport is not None:
+            self.shared.hangups.remove(self.transport)
         if call is not None:
             self.engine.left(call)
         self.engine.lifecycle.client_left()
@@ -417,11 +422,12 @@
         if stop == self.paused:
             return
         self.paused = stop
-        self.clients.note_paused(self)
         if stop:
             self.was_paused = True
             self.transport.pause_reading()
+            self.shared.hangups.add(self.transport, self.close_if_gone)
         else:
+            self.shared.hangups.remove(self.transport)
             self.transport.resume_reading()
 
     def _release(self, size: int) -> None:
@@ -479,6 +485,10 @@
 
     # What the core owes: see `Owed`
 
+    def gone(self, call: Call) -> bool:
+        """Whether its client has left: a request over HTTP/1.1 can't be cancelled but with its connection."""
+        return self.close_if_gone()
+
     def verdict(self, call: Call, verdict: Verdict) -> None:
         """The final answer to the request that is being served."""
         current = self.current
--- a/ochreflow/http/front.py
+++ b/ochreflow/http/front.py
@@ -9,6 +9,7 @@
 from .clients import Clients
 from .connection import ClientConnection, Shared
 from .grammar import Grammar
+from .progress import HangupWatch
 
 LABEL = "http"
 
@@ -21,7 +22,8 @@
     def __init__(self, engine: Engine, carrier: Carrier) -> None:
         self.clients = Clients(engine.descriptors)
         self.door = engine.open_door(LABEL, self, carrier)
-        self.shared = Shared(engine, self.door, self.clients, Grammar(engine.settings))
+        self.hangups = HangupWatch(engine.loop)
+        self.shared = Shared(engine, self.door, self.clients, Grammar(engine.settings), self.hangups)
         self.servers: list[Listening] = []
 
     def connection(self) -> ClientConnection:
@@ -49,5 +51,6 @@
 
     def close(self) -> None:
         self.stop_accepting()
+        self.hangups.close()
         for client in list(self.clients.all):
             client.close()
--- a/ochreflow/http/progress.py
+++ b/ochreflow/http/progress.py
@@ -1,4 +1,4 @@
-"""Whether a peer that is slow still takes what is written to it."""
+"""Whether a peer is still there, and whether a slow one still takes what is written to it."""
 
 from __future__ import annotations
 
@@ -10,6 +10,9 @@
 from fcntl import ioctl
 
 NOTHING = bytes(4)
+# Seconds between two looks at the connections that are not read. By the protocol no attempt may begin more
+# than 0.1 s after its client has left. Two looks in half of that leave room for a turn of the loop as long.
+LOOK_EVERY = 0.1 / 4
 
 
 def unsent(transport: asyncio.Transport) -> int:
@@ -35,6 +38,54 @@
     return bool(poll.poll(0))
 
 
+class HangupWatch:
+    """Tells of peers that hang up while nothing is read from them, which no reader of the loop tells.
+
+    One call to the system asks for all of them, and only while there are any: its cost grows with their
+    number by a tenth of a microsecond each.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.poll = select.poll()
+        self.fds: dict[asyncio.Transport, int] = {}
+        self.told: dict[int, Callable[[], object]] = {}  # by descriptor, who is told
+        self.timer: asyncio.TimerHandle | None = None
+
+    def add(self, transport: asyncio.Transport, told: Callable[[], object]) -> None:
+        """`told` is called at most `LOOK_EVERY` and a turn of the loop after the end could be read.
+
+        Again at each look, until the transport is removed: this has to be before its socket is closed, at the
+        latest as its connection is lost.
+        """
+        fd = transport.get_extra_info("socket").fileno()
+        self.fds[transport] = fd
+        self.told[fd] = told
+        self.poll.register(fd, select.POLLRDHUP)  # a reset and an end of both ways are always told
+        if self.timer is None:
+            self.timer = self.loop.call_later(LOOK_EVERY, self._look)
+
+    def remove(self, transport: asyncio.Transport) -> None:
+        fd = self.fds.pop(transport, None)
+        if fd is not None:
+            del self.told[fd]
+            self.poll.unregister(fd)
+
+    def _look(self) -> None:
+        self.timer = None
+        if not self.fds:
+            return
+        for fd, _ in self.poll.poll(0):
+            if fd in self.told:  # one that was told may have removed another
+                self.told[fd]()
+        self.timer = self.loop.call_later(LOOK_EVERY, self._look)
+
+    def close(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+
 class Patience:
     """Watches what waits to be written; a peer that takes nothing of it for so long is given up."""
 
--- /dev/null
+++ b/tests/test_client_left.py
@@ -0,0 +1,229 @@
+"""A client that has left is noticed wherever its end hides, by its connection alone.
+
+The end lies where no reader of the loop looks: in a loop that is busy, behind bytes that are not read, behind
+a whole request in the backlog. What is asked as an attempt is written is in `test_client_left_attempts`.
+"""
+
+import asyncio
+import time
+
+import pytest
+from leaving import BLOCKED, HOW, RULE, Server, connect, end_can_be_read, front_of, leave, leave_unseen
+from net_helpers import Sidecar, ask, config, entry, message, news, run, until
+
+from ochreflow.http.acceptor import Acceptor
+from ochreflow.http.connection import WAITING_MOST
+from ochreflow.http.progress import LOOK_EVERY, HangupWatch
+
+PIPELINED = b"".join(message("order", f"more{n}") for n in range(400))  # more than is read while one waits
+
+
+async def behind_one(sidecar, server, sent=b""):
+    """A client whose first request the server holds, with what it sent after that, and the server's side."""
+    client = connect(sidecar.port)
+    client.sendall(message("order", "held") + sent)
+    taken = await server.accept()
+    await taken.has(b"held")
+    return client, taken
+
+
+async def paused(sidecar, server):
+    """The same with so many behind it that the client is read no further."""
+    client, taken = await behind_one(sidecar, server)
+    front = front_of(sidecar, client)
+    client.sendall(b"".join(message("order", f"id{n}") for n in range(WAITING_MOST)))
+    await until(lambda: front.paused)
+    client.sendall(PIPELINED)
+    return client, taken, front
+
+
+@pytest.mark.parametrize("how", HOW)
+@pytest.mark.parametrize("where", ["unread", "behind bytes", "paused"])
+def test_whether_a_client_has_left_is_known_in_the_instant_of_asking(tmp_path, where, how):
+    """The loop has not turned since: the end lies in the socket, and nothing has told of it."""
+
+    async def play():
+        server = Server()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", server.address)))) as sidecar:
+            if where == "paused":
+                client, _, front = await paused(sidecar, server)
+            else:
+                client, _ = await behind_one(sidecar, server)
+                front = front_of(sidecar, client)
+            call = front.current
+            if where == "behind bytes":
+                client.sendall(PIPELINED)
+            assert not front.gone(call) and not front.transport.is_closing()  # it is there still
+            leave(client, how)
+            end_can_be_read(front)
+            assert front.gone(call) and front.transport.is_closing()
+            assert front.gone(call)  # asked again before the loop has turned, too
+            await until(lambda: not sidecar.engine.held and not sidecar.http.clients.all)
+            assert front.gone(call)  # ... and by an attempt that comes later still
+            client.close()
+        server.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize("after", ["look", "sweep"])
+@pytest.mark.parametrize("turn", [0.0, 0.02], ids=["idle", "busy"])
+@pytest.mark.parametrize("how", HOW)
+def test_the_end_of_a_client_that_is_not_read_is_seen_within_half_of_the_time(tmp_path, how, turn, after):
+    """Before a bell that is set as the end can be read has rung, also where each turn of the loop is long.
+
+    The client leaves just after somebody has looked. Bells ring in the order of their times, so a machine
+    that stands still for a while changes nothing.
+    """
+
+    async def play():
+        server = Server()
+        loop = asyncio.get_running_loop()
+
+        def work():
+            time.sleep(turn)
+            loop.call_soon(work)
+
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", server.address)))) as sidecar:
+            client, taken, front = await paused(sidecar, server)
+            if turn:
+                work()
+            left = loop.create_future()
+            looking, name = (sidecar.http, "sweep") if after == "sweep" else (sidecar.http.hangups, "_look")
+            look = getattr(looking, name)
+
+            def look_and_leave():
+                look()
+                setattr(looking, name, look)
+                leave(client, how)
+                end_can_be_read(front)
+                loop.call_later(RULE / 2, lambda: left.set_result(front.transport.is_closing()))
+
+            setattr(looking, name, look_and_leave)
+            assert await left
+            await until(lambda: not sidecar.engine.held)
+            client.close()
+            taken.take()
+            assert taken.got.count(b"X-Request-Id") == 1
+        server.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize("first", ["answer", "end"])
+@pytest.mark.parametrize("how", HOW)
+def test_what_waits_behind_others_is_not_sent_once_its_client_has_left(tmp_path, how, first):
+    """The answer before it and the end come in one turn, in either order."""
+
+    async def play():
+        server = Server()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", server.address)))) as sidecar:
+            client, taken = await behind_one(sidecar, server, message("order", "gone"))
+            await until(lambda: front_of(sidecar, client).waiting)
+            if first == "answer":
+                taken.answer()
+            leave_unseen(sidecar, client, how)
+            if first == "end":
+                taken.answer()
+            await until(lambda: not sidecar.http.clients.all and not sidecar.engine.attempts)
+            assert b"gone" not in server.take_all()
+            client.close()
+        server.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize("accepts", ["loop", "own"])
+@pytest.mark.parametrize("how", HOW)
+def test_a_request_that_was_left_while_the_loop_was_blocked_is_not_sent(tmp_path, how, accepts):
+    """It lies in the backlog with its client's end behind it; a connection to the server stands ready."""
+
+    async def play():
+        server = Server()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", server.address)))) as sidecar:
+            port = sidecar.port
+            if accepts == "own":
+                sock = Server().listening
+                port = sock.getsockname()[1]
+                clients = sidecar.http.clients
+                loop = asyncio.get_running_loop()
+                sidecar.http.listen(Acceptor(loop, sock, sidecar.http.connection, clients))
+            asked = asyncio.create_task(ask(port, message("order", "first")))
+            taken = await server.accept()
+            await taken.has(b"first")
+            taken.answer()
+            assert (await asked).code == 200
+            await until(lambda: not sidecar.http.clients.all)
+
+            client = connect(port)
+            client.sendall(message("order", "gone"))
+            leave(client, how)
+            time.sleep(BLOCKED)
+            after = asyncio.create_task(ask(port, message("order", "other")))
+            await taken.has(b"other")  # accepted after it
+            taken.answer()
+            assert (await after).code == 200
+            assert b"gone" not in server.take_all()
+            client.close()
+        server.close()
+
+    run(play())
+
+
+def test_looking_for_ends_costs_nothing_while_all_are_read_and_one_call_otherwise(tmp_path, monkeypatch):
+    """The price of the short time between two looks."""
+
+    async def play():
+        server = Server()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", server.address)))) as sidecar:
+            watch = sidecar.http.hangups
+            client, _ = await behind_one(sidecar, server)
+            assert watch.timer is None and not watch.fds
+            front = front_of(sidecar, client)
+            client.sendall(b"".join(message("order", f"id{n}") for n in range(WAITING_MOST)))
+            await until(lambda: front.paused)
+            assert len(watch.fds) == len(watch.told) == 1
+            await asyncio.sleep(3 * LOOK_EVERY)
+            assert watch.timer is not None and not front.transport.is_closing()
+            client.close()
+            await until(lambda: watch.timer is None)
+            assert not watch.fds and not watch.told and not watch.poll.poll(0)
+        server.close()
+
+    run(play())
+
+
+def test_a_transport_is_watched_until_it_is_removed_and_one_that_is_told_may_remove_others():
+    async def play():
+        loop = asyncio.get_running_loop()
+        watch, told = HangupWatch(loop), []
+        server = Server()
+        ends = [connect(server.listening.getsockname()[1]) for _ in range(3)]
+        transports = []
+        for _ in ends:
+            taken = await server.accept()
+            transports.append((await loop.connect_accepted_socket(asyncio.Protocol, taken.sock))[0])
+            transports[-1].pause_reading()
+
+        def tell(transport):
+            told.append(transport)
+            for one in transports[:2]:
+                watch.remove(one)
+
+        for transport in transports:
+            watch.add(transport, lambda transport=transport: tell(transport))
+        for end in ends[:2]:
+            end.close()
+        await until(lambda: told)
+        await asyncio.sleep(2 * LOOK_EVERY)
+        assert len(told) == 1 and told[0] in transports[:2]
+        assert list(watch.fds) == transports[2:]
+        ends[2].close()
+        await until(lambda: transports[2] in told)
+        watch.close()
+        assert watch.timer is None
+        for transport in transports:
+            transport.abort()
+        server.listening.close()
+
+    run(play())
