Stop a body that flows into its server in the turn in which its client has left

Cause: the last piece of a body and its client's end may come in one turn of the loop. The piece was read first and written, so that the server had the whole request of a client that had gone (ClientConnection.data_received). Change: while a body flows, the connection is asked whether its client has gone before a piece is taken; then the attempt is cut, with its last byte unwritten, and cannot run. The test fails without the change for close, reset and half-close (seen).

--- a/ochreflow/http/connection.py
+++ b/ochreflow/http/connection.py
@@ -228,6 +228,9 @@
     def data_received(self, data: bytes) -> None:
         if self.deaf or self.closed:
             return
+        # Guards a server against the rest of a body that flows into it, and whose client has left by then.
+        if self.flowing is not None and self.close_if_gone():
+            return
         self.size += len(data)
         try:
             self.parser.feed_data(data)
--- a/tests/test_client_left.py
+++ b/tests/test_client_left.py
@@ -11,10 +11,12 @@
 from leaving import BLOCKED, HOW, RULE, Server, connect, end_can_be_read, front_of, leave, leave_unseen
 from net_helpers import Sidecar, ask, config, entry, message, news, run, until
 
+from ochreflow.core.body import HOLD_MOST
 from ochreflow.http.acceptor import Acceptor
 from ochreflow.http.connection import WAITING_MOST
 from ochreflow.http.progress import LOOK_EVERY, HangupWatch
 
+FLOWING = 2 * HOLD_MOST  # bytes of a body that goes on to its server while it comes
 PIPELINED = b"".join(message("order", f"more{n}") for n in range(400))  # more than is read while one waits
 
 
@@ -170,6 +172,29 @@
     run(play())
 
 
+@pytest.mark.parametrize("how", HOW)
+def test_a_body_that_flows_is_not_completed_once_its_client_has_left(tmp_path, how):
+    """Its last piece and the end come in one turn: what never was whole at the server has not run."""
+
+    async def play():
+        server = Server()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", server.address)))) as sidecar:
+            client = connect(sidecar.port)
+            client.sendall(message("order", "big", "3000m", b"a" * FLOWING + b"last")[: -len(b"last")])
+            taken = await server.accept()
+            await until(lambda: taken.take() or taken.got.endswith(b"a" * FLOWING))
+            client.sendall(b"last")
+            leave_unseen(sidecar, client, how)
+            await until(lambda: not sidecar.engine.held and not sidecar.engine.attempts)
+            await until(lambda: taken.take() or taken.ended)
+            assert b"big" in taken.got and b"last" not in taken.got
+            assert sidecar.engine.stats.forwards == 0
+            client.close()
+        server.close()
+
+    run(play())
+
+
 def test_looking_for_ends_costs_nothing_while_all_are_read_and_one_call_otherwise(tmp_path, monkeypatch):
     """The price of the short time between two looks."""
 
