Keep one answer to whether a client has gone

Cause: two changes that were joined each brought a method of this name to the client's connection, and the later one hid the other. Change: the one that looks at the connection stays.

--- a/ochreflow/http/connection.py
+++ b/ochreflow/http/connection.py
@@ -504,9 +504,6 @@
         self._pump()
         self.clients.place(self)
 
-    def gone(self, call: Call) -> bool:
-        return self.current is not call or self.close_if_gone()
-
     def begin(self, call: Call, head: object, length: int | None, pause: Pause) -> None:
         """The final answer has begun to come, and goes on to the client from its first bytes."""
         current = self.current
