Load the links to other processes at a start only where its configuration asks for them

Nine in ten restarted processes have to be ready within 10 s, and a share of a core is all that each has.

Tests: readiness with discovery refusing, not connecting, hanging, silent in the middle of an answer, resetting, and answering 503 (all six seen to fail with a start that waits for the first answer); what a start loads (seen to fail without this change); the build leaves the bytecode of all that a start loads (seen to fail without `compileall`).

--- a/ochreflow/app/process.py
+++ b/ochreflow/app/process.py
@@ -18,9 +18,7 @@
 from ..core.log import log
 from ..http.management import Management
 from ..membership.directory import ListError, read_news
-from ..membership.peers import Peers
 from .config import Config, ConfigError, read_config
-from .overlap import Overlap
 from .reload import Options, Reloader
 from .sidecar import Sidecar
 
@@ -69,6 +67,8 @@
     overlap, known = None, None
     if inherited is not None and (folder := os.environ.get("TMPDIR")):
         # Only a socket that the platform holds can have another process on it.
+        from .overlap import Overlap
+
         overlap = Overlap(
             loop,
             folder,
@@ -91,6 +91,8 @@
     loop.add_signal_handler(signal.SIGHUP, reloader.ask)
     try:
         if config.peer_listen is not None:
+            from ..membership.peers import Peers
+
             peers = Peers(config.settings.index, config.peers, config.peers_all, engine.on_peer)
             await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
             engine.peers = peers
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,10 +1,13 @@
 """The programs themselves: `python -m ochreflow` from start to SIGTERM, and the adapter's start."""
 
 import asyncio
+import contextlib
 import json
 import os
 import re
 import resource
+import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -26,6 +29,7 @@
     news,
     read_message,
     reply,
+    reset,
     run,
     until,
 )
@@ -239,6 +243,175 @@
     run(play())
 
 
+class Discovery:
+    """One that is of no use, in each way; what it gets is in `called`."""
+
+    def __init__(self):
+        self.called = asyncio.Event()  # a call is under way, or was broken
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self._meet, HOST, 0)
+        self.address = f"{HOST}:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def __aexit__(self, *_):
+        self.server.close()
+
+    async def _meet(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        self.write(writer)
+        self.called.set()
+        with contextlib.suppress(OSError):
+            await reader.read()  # until the sidecar lets go
+        writer.close()
+
+    def write(self, writer):
+        """It hangs."""
+
+
+class Silent(Discovery):
+    """Half an answer, and no more."""
+
+    def write(self, writer):
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{"index": 1,')
+
+
+class Unavailable(Discovery):
+    def write(self, writer):
+        writer.write(reply(503, b""))
+
+
+class Resetting(Discovery):
+    def write(self, writer):
+        reset(writer)
+
+
+class Refusing(Discovery):
+    """Nobody listens at its address."""
+
+    async def __aenter__(self):
+        with socket.create_server((HOST, 0)) as sock:
+            self.address = f"{HOST}:{sock.getsockname()[1]}"
+        self.called.set()
+        return self
+
+    async def __aexit__(self, *_):
+        pass
+
+
+class Unconnected(Refusing):
+    """Connections to it never come up: its backlog is full, and it takes none."""
+
+    async def __aenter__(self):
+        self.sock = socket.socket()
+        self.sock.bind((HOST, 0))
+        self.sock.listen(0)
+        where = self.sock.getsockname()
+        self.address = f"{HOST}:{where[1]}"
+        self.waiting = []
+        for _ in range(4):
+            one = socket.socket()
+            one.setblocking(False)
+            self.waiting.append(one)
+            with contextlib.suppress(BlockingIOError):
+                one.connect(where)
+        self.called.set()
+        return self
+
+    async def __aexit__(self, *_):
+        for one in (*self.waiting, self.sock):
+            one.close()
+
+
+@pytest.mark.parametrize("kind", [Refusing, Unconnected, Discovery, Silent, Resetting, Unavailable])
+def test_readiness_waits_for_no_discovery(tmp_path, kind):
+    """Ready, and serving from the list of its configuration, with its first call open or broken."""
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with kind() as discovery:
+            data = config(news(1, entry("s1", fake.address)), discovery.address)
+            async with Process(tmp_path / "c", data) as sidecar:
+                assert (await ask(sidecar.port, READY)).code == 200
+                async with asyncio.timeout(WAIT):
+                    await discovery.called.wait()
+                assert (await ask(sidecar.port, READY)).code == 200
+                assert (await ask(sidecar.port, message("order", "ab"))).code == 200
+                sidecar.process.send_signal(signal.SIGTERM)
+                assert await sidecar.process.wait() == 0
+
+    run(play())
+
+
+@pytest.mark.parametrize("told", [False, True])
+def test_a_start_loads_nothing_that_only_other_configurations_need(tmp_path, told):
+    """Guards the processor time of a start: what links to other processes is loaded where there are any."""
+    with socket.socket(type=socket.SOCK_DGRAM) as sock:
+        sock.bind((HOST, 0))
+        port = sock.getsockname()[1]
+    data = config(news(1), **({"peer_listen": f"{HOST}:{port}"} if told else {}))
+    (tmp_path / "c").write_text(json.dumps(data))
+    code = """
+import os, signal, sys
+from ochreflow.app import process
+said = process.log.info
+def info(what, **fields):
+    said(what, **fields)
+    if what == "listening":
+        print(" ".join(sys.modules))
+        os.kill(os.getpid(), signal.SIGTERM)
+process.log.info = info
+sys.exit(process.main())
+"""
+    env = {**os.environ, "GW_CONFIG": str(tmp_path / "c")}
+    listening = socket.create_server((HOST, 0))
+    if told:
+        env |= {"GW_FD": str(listening.fileno()), "TMPDIR": str(tmp_path)}
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        cwd=ROOT,
+        env=env,
+        pass_fds=[listening.fileno()],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    listening.close()
+    assert done.returncode == 0, done.stderr
+    loaded = set(done.stdout.split())
+    links = {"ochreflow.app.overlap", "ochreflow.membership.peers"}
+    assert loaded & links == (links if told else set())
+    assert told or not loaded & {"pathlib", "urllib.parse", "ipaddress"}
+
+
+def test_the_build_leaves_the_bytecode_of_all_that_a_start_loads(tmp_path):
+    """Guards the processor time of a start: what is not compiled is compiled at each, on a read-only disk."""
+    shutil.copytree(ROOT / "ochreflow", tmp_path / "ochreflow", ignore=shutil.ignore_patterns("__pycache__"))
+    build = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["build"].split(" && ")
+    env = {**os.environ, "PYTHONDONTWRITEBYTECODE": "1"}
+    env.pop("PYTHONPYCACHEPREFIX", None)
+    compiles = [shlex.split(command) for command in build if "compileall" in command]
+    for command in compiles:
+        assert command[0] == ".venv/bin/python"
+        subprocess.run([sys.executable, *command[1:]], cwd=tmp_path, env=env, timeout=60, check=True)
+    code = """
+import os, sys
+import ochreflow.app.overlap, ochreflow.app.process, ochreflow.membership.peers
+loaded = [module for name, module in sys.modules.items() if name.partition(".")[0] == "ochreflow"]
+print(len(loaded), *(module.__name__ for module in loaded if not os.path.exists(module.__cached__)))
+print(loaded[0].__file__)
+"""
+    done = subprocess.run(
+        [sys.executable, "-c", code], cwd=tmp_path, env=env, capture_output=True, text=True, timeout=60
+    )
+    assert done.returncode == 0, done.stderr
+    counted, place = done.stdout.splitlines()
+    assert Path(place).is_relative_to(tmp_path)
+    number, *uncompiled = counted.split()
+    assert int(number) > 30 and not uncompiled
+
+
 def test_the_deploy_file_starts_the_adapter():
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
     batch = bytes.fromhex("0c00000090bf68f50100000000000000")
