Show that simulated time convicts a build that gives up 55 ms after the deadline

The sabotage of "one final answer" loses answers altogether, so nothing showed that the judge's 50 ms still hold now that builds are judged in simulated time. A build that gives up 70 ms later than this one, which does so 15 ms before the deadline to the nanosecond or two, is convicted by each of its late answers and of nothing else.

--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -120,6 +120,17 @@
         assert run.asked > 100
 
 
+def test_a_build_that_gives_up_55_ms_after_the_deadline_is_convicted(tmp_path):
+    """The judge allows 50 ms, and nothing is put down to the machine."""
+    file, old, _, made = SABOTAGE["one final answer"]
+    late = """\
+        wait = 0.0 if verdict.answer else 0.07  # it gives up 15 ms before the deadline
+        self.loop.call_later(wait, held.owed_to.verdict, held.call, verdict)"""
+    run = play(made, tmp_path, 1, sabotaged(tmp_path / "program", file, old, late))
+    assert run.findings and run.broken == {"one final answer"}
+    assert all(" after 2.055 of 2 s" in text for _, text in run.findings)
+
+
 def test_the_library_is_fine_and_the_command_plays_it(tmp_path):
     assert len(names()) >= 12
     for name in names():
