Force an attempt's first byte and its client's leaving into one turn, at each point where it waits

Need: the guard at the first byte asks whether the client has gone; no test forced the end to lie unread, with the loop blocked for longer than the rule's 0.1 s, in the very turn in which the attempt would be written. Change: tests/test_client_left_attempts.py holds the attempt at a named point and lets the client leave there by close, reset and half-close, with the end readable for 0.15 s: a connection that comes up late, without a body and with half of one that is read no further; the pool's queue, with a connection coming free before or after the end; a delayed repeat; a first attempt whose decision took that long.

--- a/ochreflow/http/connection.py
+++ b/ochreflow/http/connection.py
@@ -490,7 +490,7 @@
 
     def gone(self, call: Call) -> bool:
         """Whether its client has left: a request over HTTP/1.1 can't be cancelled but with its connection."""
-        return self.close_if_gone()
+        return self.current is not call or self.close_if_gone()
 
     def verdict(self, call: Call, verdict: Verdict) -> None:
         """The final answer to the request that is being served."""
--- /dev/null
+++ b/tests/test_client_left_attempts.py
@@ -0,0 +1,149 @@
+"""Nothing of an attempt is written once its client has left, wherever the attempt has waited until then.
+
+In each test the end can be read, and the loop has not turned since, in the very turn in which the attempt
+would be written. So it is not the reading of the end that keeps it back, but what is asked at its first byte.
+"""
+
+import asyncio
+import time
+
+import pytest
+from leaving import BLOCKED, HOW, HeldLoop, Server, connect, front_of, leave, leave_unseen
+from net_helpers import Sidecar, ask, config, entry, message, news, run, until
+
+from ochreflow.core.body import HOLD_MOST
+from ochreflow.policy import interface as api
+
+
+async def nothing_open(sidecar):
+    await until(lambda: not sidecar.engine.held and not sidecar.engine.attempts)
+    await until(lambda: not sidecar.http.clients.all)
+
+
+async def warm(sidecar, server):
+    """A connection to the server that stands ready: what is sent next is written at once."""
+    asked = asyncio.create_task(ask(sidecar.port, message("order", "first")))
+    taken = await server.accept()
+    await taken.has(b"first")
+    taken.answer()
+    assert (await asked).code == 200
+    await until(lambda: not sidecar.http.clients.all)
+
+
+@pytest.mark.parametrize("body", ["none", "half"])
+@pytest.mark.parametrize("how", HOW)
+def test_a_connection_that_comes_up_late_is_not_written_to(tmp_path, how, body):
+    """With half a body, which is read no further until it can be written: its end lies behind the rest."""
+
+    async def play():
+        server = Server()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", server.address)))) as sidecar:
+            held = sidecar.upstreams.loop = HeldLoop(asyncio.get_running_loop())
+            client = connect(sidecar.port)
+            if body == "none":
+                client.sendall(message("order", "gone"))
+            else:
+                whole = message("order", "gone", "3000m", bytes(2 * HOLD_MOST))
+                client.sendall(whole[: -HOLD_MOST // 2])
+            taken = await server.accept()
+            await until(lambda: sidecar.engine.held)
+            front = front_of(sidecar, client)
+            if body == "half":
+                await until(lambda: front.paused)
+                client.sendall(whole[-HOLD_MOST // 2 :])
+            held.before_use = lambda: leave_unseen(sidecar, client, how)
+            held.go.set()
+            await nothing_open(sidecar)
+            taken.take()
+            assert not taken.got
+            client.close()
+        server.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize("first", ["answer", "end"])
+@pytest.mark.parametrize("how", HOW)
+def test_a_connection_that_comes_free_is_not_written_to(tmp_path, how, first):
+    """It waits for a connection of its own in the pool, and takes the one whose answer comes in this turn."""
+
+    async def play():
+        server = Server()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", server.address)))) as sidecar:
+            asked = asyncio.create_task(ask(sidecar.port, message("order", "first")))
+            taken = await server.accept()
+            await taken.has(b"first")
+            held = sidecar.upstreams.loop = HeldLoop(asyncio.get_running_loop())
+            client = connect(sidecar.port)
+            client.sendall(message("order", "gone"))
+            await until(lambda: any(target.opening for target in sidecar.upstreams.targets.values()))
+            if first == "answer":
+                taken.answer()
+            leave_unseen(sidecar, client, how)
+            if first == "end":
+                taken.answer()
+            assert (await asked).code == 200
+            await nothing_open(sidecar)
+            held.go.set()
+            await until(lambda: not any(target.opening for target in sidecar.upstreams.targets.values()))
+            assert b"gone" not in server.take_all()
+            client.close()
+        server.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_a_delayed_repeat_is_not_written(tmp_path, how):
+    """Its bell rings in the turn that begins after the loop was blocked, before any socket is read."""
+
+    async def play():
+        server = Server()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", server.address)))) as sidecar:
+            client = connect(sidecar.port)
+            client.sendall(message("lookup", "gone"))
+            taken = await server.accept()
+            await taken.has(b"gone")
+            bells = []
+            sidecar.engine.doing[api.SetTimer] = bells.append
+            taken.answer(503, "X-Not-Run: 1")
+            await until(lambda: bells)
+            # It waits for its repeat, which will find a connection that stands ready.
+            assert sidecar.engine.held and not sidecar.engine.attempts
+            leave_unseen(sidecar, client, how)
+            for bell in bells:
+                sidecar.engine.post(api.Timer(bell.token))
+            await nothing_open(sidecar)
+            assert server.take_all().count(b"gone") == 1
+            client.close()
+        server.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_what_is_taken_up_and_left_in_one_turn_is_not_written(tmp_path, how):
+    """It was taken while its client was there; the decision took long."""
+
+    async def play():
+        server = Server()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", server.address)))) as sidecar:
+            await warm(sidecar, server)
+            client = connect(sidecar.port)
+            handle = sidecar.engine.balancer.handle
+
+            def slowly(now, event):
+                if isinstance(event, api.Request):
+                    leave(client, how)
+                    time.sleep(BLOCKED)
+                return handle(now, event)
+
+            sidecar.engine.balancer.handle = slowly
+            client.sendall(message("order", "gone"))
+            await until(lambda: client.fileno() < 0 or sidecar.engine.next_id > 2)
+            await nothing_open(sidecar)
+            assert b"gone" not in server.take_all()
+            client.close()
+        server.close()
+
+    run(play())
