Let go of a client that asked for the connection's end and does not read its answer

Cause: Patience gives up who takes nothing of what is written, but not while the transport closes; a transport with something left to write closes only after that. Change: it is given up all the same (Patience._look in http/progress.py).

--- a/ochreflow/http/progress.py
+++ b/ochreflow/http/progress.py
@@ -105,7 +105,7 @@
 
     def _look(self) -> None:
         left = unsent(self.transport)
-        if left == self.left and not self.transport.is_closing():
+        if left == self.left:  # also of one that closes once all is written: it never would
             self.timer = None
             self.give_up()
             return
--- a/tests/test_client_left.py
+++ b/tests/test_client_left.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
+import socket
 import time
 
 import pytest
 from leaving import BLOCKED, HOW, RULE, Server, connect, end_can_be_read, front_of, leave, leave_unseen
-from net_helpers import Sidecar, ask, config, entry, message, news, run, until
+from net_helpers import HOST, Sidecar, ask, config, entry, message, news, reply, run, until
 
 from ochreflow.core.body import HOLD_MOST
 from ochreflow.http.acceptor import Acceptor
@@ -252,3 +253,30 @@
         server.listening.close()
 
     run(play())
+
+
+def test_a_client_that_asks_for_the_end_and_reads_nothing_is_let_go(tmp_path):
+    """Its connection closes once its answer has been written, which it never is."""
+
+    async def play():
+        server = Server()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", server.address)))) as sidecar:
+            sidecar.http.clients.times.slow_reader = 0.1
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.connect((HOST, sidecar.port))
+            await until(lambda: sidecar.http.clients.all)
+            (front,) = sidecar.http.clients.all
+            front.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            client.sendall(message("order", "held", "3000m", b"", "Connection: close"))
+            taken = await server.accept()
+            await taken.has(b"held")
+            taken.sock.setblocking(True)
+            taken.sock.sendall(reply(200, bytes(HOLD_MOST // 2)))
+            await until(lambda: front.transport.is_closing())
+            assert front.transport.get_write_buffer_size() > 0
+            await until(lambda: not sidecar.http.clients.all)
+            client.close()
+        server.close()
+
+    run(play())
