Count descriptors by the system's limit where it is below the configuration's

Where RLIMIT_NOFILE was 256 and the configuration said 1,024, clients' share was 487: idle clients took every descriptor of the process. Connections were then ended as soon as they were accepted: of ten calls to the operators' address none was answered, and of ten requests none.

Seen to fail without the cap: the case system-lower of test_discoverys_return_is_seen_while_idle_clients_hold_all_they_may, and the test of the count itself.

--- a/ochreflow/app/sidecar.py
+++ b/ochreflow/app/sidecar.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import resource
 from functools import partial
 from time import monotonic
 
@@ -20,6 +21,12 @@
 CONNECT_WITHIN = 1.0  # seconds, where the settings name no time
 
 
+def system_limit() -> int | None:
+    """The descriptors that the system gives this process; None where it names no limit."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return None if soft == resource.RLIM_INFINITY else soft
+
+
 class Sidecar:
     """Owns the parts; each of them owns its own state."""
 
@@ -31,6 +38,8 @@
         known: News | None = None,
     ) -> None:
         usage = usage or Usage(Descriptors(config.sockets), Memory(config.memory))
+        if (most := system_limit()) is not None:
+            usage.descriptors.cap(most)
         settings, known = config.settings, known or config.known
         self.names = config.names
         self.engine = Engine(loop, settings, config.transport.max_open, config.seed, usage, config.names)
--- a/ochreflow/core/limits.py
+++ b/ochreflow/core/limits.py
@@ -30,6 +30,14 @@
         """Have a waiting connection go: it gives way before anything that is owed an answer does."""
         return any(give_way() for give_way in self.waiting)
 
+    def cap(self, most: int) -> None:
+        """Count with no more than the system gives this process, whatever the configuration says.
+
+        Guards what the reserve is for: clients that take the last descriptor of the process keep
+        operators, discovery and attempts out, since a connection is then ended as soon as it is accepted.
+        """
+        self.total = min(self.total, most)
+
     @property
     def limit(self) -> int:
         """What all processes together may hold."""
--- /dev/null
+++ b/tests/test_room.py
@@ -0,0 +1,425 @@
+"""Idle clients hold all that they may while discovery is down: what the sidecar itself needs still goes on.
+
+All of it is played without the gate, which is off unless an operator's file asks for it.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import resource
+import signal
+import socket
+import threading
+from dataclasses import dataclass, field
+from itertools import count
+from time import monotonic
+
+import pytest
+from net_helpers import (
+    HOST,
+    Fake,
+    answer_ok,
+    ask,
+    config,
+    entry,
+    message,
+    news,
+    read_message,
+    reply,
+    reset,
+    run,
+    until,
+)
+from test_process import READY, Process
+
+from ochreflow.app.sidecar import system_limit
+from ochreflow.core.limits import Descriptors
+
+LEAST = 256  # descriptors of the least configuration
+CROWD = 300  # idle clients: more than those descriptors
+BACK = 0.5  # seconds after which an idle client that was ended comes again
+GRACE = 0.5  # seconds, as `config` says it
+SLACK = 0.05  # seconds that each limit grows by on real sockets
+TOLD_WITHIN = 6.0  # seconds from discovery's return
+OPERATORS_WITHIN = 1.0  # seconds
+REST = 0.02  # of a core that a sidecar at rest may use beyond what it used without clients; a spin takes all
+LOOK = 2.0  # seconds of one look at the processor time
+HEALTHY = b"GET /healthcheck HTTP/1.1\r\n\r\n"
+HALF = b"POST /order/part HTTP/1.1\r\nHost: origin.svc\r\nX-Requ"
+CALM = '[clients]\nhead_within = "60s"\nidle = "1h"\n'  # an operator's file: idle clients are left alone
+
+
+class Idle(asyncio.Protocol):
+    """A client that connects, says what it says, and stays until it is ended."""
+
+    def __init__(self, crowd, says):
+        self.crowd = crowd
+        self.says = says
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.crowd.here[self] = None
+        self.crowd.came += 1
+        if self.says:
+            transport.write(self.says)
+
+    def connection_lost(self, exc):
+        self.crowd.here.pop(self, None)
+        self.crowd.come_again(self.says)
+
+
+@dataclass
+class Crowd:
+    """Silent clients, half-written ones and kept ones, by turns; with `again`, who is ended comes again."""
+
+    port: int
+    again: bool = True
+    came: int = 0
+    here: dict = field(default_factory=dict)
+    tasks: set = field(default_factory=set)
+
+    def begin(self, says):
+        task = asyncio.get_running_loop().create_task(self._connect(says))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def come_again(self, says):
+        if self.again:
+            asyncio.get_running_loop().call_later(BACK, lambda: self.again and self.begin(says))
+
+    async def _connect(self, says):
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.create_connection(lambda: Idle(self, says), HOST, self.port)
+        except OSError:
+            self.come_again(says)
+
+    async def __aenter__(self):
+        for number in range(CROWD):
+            self.begin((b"", HALF, READY)[number % 3])
+        await until(lambda: self.came >= CROWD)
+        return self
+
+    async def __aexit__(self, *_):
+        self.again = False
+        for task in list(self.tasks):
+            task.cancel()
+        for one in list(self.here):
+            one.transport.abort()
+
+
+class Discovery:
+    """Answers whole lists, and watches once something has changed; can be taken down and brought back."""
+
+    def __init__(self, listed):
+        self.listed = listed
+        self.changed = asyncio.Event()
+        self.fake = Fake(self._answer)
+        self.writers = set()
+        self.told = []  # when the present list was written, each time
+        self.port = 0
+
+    async def start(self):
+        self.fake.server = await asyncio.start_server(self.fake._serve, HOST, self.port)
+        self.port = self.fake.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _answer(self, got, reader, writer):
+        self.writers.add(writer)
+        if f"after={self.listed['index']}&" in got.first:
+            await self.changed.wait()
+        writer.write(reply(200, json.dumps(self.listed).encode()))
+        self.told.append(monotonic())
+
+    def down(self):
+        self.fake.server.close()
+        for writer in self.writers:
+            reset(writer)
+        self.writers.clear()
+
+    async def up(self, listed):
+        self.listed, self.changed, self.told = listed, asyncio.Event(), []
+        await self.start()
+
+    @property
+    def address(self):
+        return f"{HOST}:{self.port}"
+
+
+class Server:
+    """Answers after some seconds: the quicker of two is the one that is used."""
+
+    def __init__(self, takes):
+        self.takes = takes
+        self.fake = Fake(self._answer)
+        self.came = {}  # when each request came, by its id
+        self.twice = []
+
+    async def _answer(self, got, reader, writer):
+        ident = got.headers["x-request-id"]
+        if ident in self.came:
+            self.twice.append(ident)
+        self.came[ident] = monotonic()
+        await asyncio.sleep(self.takes)
+        await answer_ok(got, reader, writer)
+
+
+class Asking:
+    """Requests one after another on new connections; `codes` has each answer, None where there was none."""
+
+    def __init__(self, port):
+        self.port = port
+        self.codes = {}
+        self.task = asyncio.get_running_loop().create_task(self._go_on())
+
+    async def _go_on(self):
+        for number in count():
+            ident = f"{number:016x}"
+            self.codes[ident] = None
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                self.codes[ident] = (await ask(self.port, message("order", ident))).code
+            await asyncio.sleep(0.02)
+
+    @property
+    def answered(self):
+        return sum(code == 200 for code in self.codes.values())
+
+    async def go_on(self, times):
+        """Wait until so many more have been answered."""
+        goal = self.answered + times
+        await until(lambda: self.answered >= goal)
+
+    async def end(self):
+        self.task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.task
+
+
+class Stage:
+    """Discovery and two servers; the quicker one, which is used most, drains while discovery is down."""
+
+    async def start(self):
+        self.stays, self.drains = Server(takes=0.02), Server(takes=0.0)
+        for server in (self.stays, self.drains):
+            await server.fake.start()
+        self.discovery = await Discovery(self.list(1, "SERVING")).start()
+        return self
+
+    def list(self, index, status):
+        second = entry("b", self.drains.fake.address, status=status)
+        return news(index, entry("a", self.stays.fake.address), second)
+
+    def config(self, sockets):
+        data = config(self.list(1, "SERVING"), self.discovery.address, management=f"{HOST}:0")
+        data["limits"]["sockets"] = sockets
+        return data
+
+    def all_lived(self, asking):
+        """Whether what reached a server did so once and was answered, but for the one cut off at the end."""
+        first, second = self.stays, self.drains
+        once = not (first.twice or second.twice or first.came.keys() & second.came.keys())
+        lost = [ident for ident in first.came.keys() | second.came.keys() if asking.codes[ident] != 200]
+        return once and set(lost) <= {max(asking.codes)}
+
+    async def drain_unseen_and_come_back(self, processes):
+        """Discovery is back with the drain in its list: when it came back, once all processes were told."""
+        back = monotonic()
+        await self.discovery.up(self.list(2, "DRAINING"))
+        await until(lambda: len(self.discovery.told) >= processes)
+        return back
+
+    async def drain_kept(self, back, asking):
+        """Whether nothing new came to the draining server after the grace; others go on meanwhile."""
+        counts = min(max(self.discovery.told), back + TOLD_WITHIN) + GRACE + SLACK
+        await asyncio.sleep(counts - monotonic())
+        await asking.go_on(20)
+        return max(self.drains.came.values()) <= counts
+
+
+async def operators_heard(process):
+    """Whether the operators' address answers in time, ten times."""
+    for _ in range(10):
+        async with asyncio.timeout(OPERATORS_WITHIN):
+            got = await ask(process.operators, HEALTHY)
+        if got.code != 200:
+            return False
+    return True
+
+
+def pid_of(process):
+    return process.process.pid
+
+
+def held(*processes):
+    """Descriptors that they hold, all together."""
+    return sum(len(os.listdir(f"/proc/{pid_of(process)}/fd")) for process in processes)
+
+
+async def used(process):
+    """The part of a core that it uses at present."""
+
+    def taken():
+        with open(f"/proc/{pid_of(process)}/schedstat") as file:
+            return int(file.read().split()[0]) / 1e9
+
+    before, began = taken(), monotonic()
+    await asyncio.sleep(LOOK)
+    return (taken() - before) / (monotonic() - began)
+
+
+@pytest.mark.parametrize(
+    ("said", "system", "file"),
+    [(LEAST, LEAST, ""), (LEAST, LEAST, CALM), (1024, LEAST, CALM), (LEAST, 1024, CALM)],
+    ids=["as-said", "never-ended", "system-lower", "system-higher"],
+)
+def test_discoverys_return_is_seen_while_idle_clients_hold_all_they_may(tmp_path, said, system, file):
+    """Where the system gave less than the configuration says, clients took all: nobody else was heard."""
+
+    async def play():
+        (tmp_path / "o.toml").write_text(file)
+        stage = await Stage().start()
+        process = Process(tmp_path / "c", stage.config(said), descriptors=system)
+        process.arguments = ["--config", str(tmp_path / "o.toml")]
+        async with process:
+            await until(lambda: stage.discovery.fake.got)
+            async with Crowd(process.port):
+                asking = Asking(process.port)
+                await asking.go_on(20)
+                stage.discovery.down()
+                await process.heard(b"discovery failed")
+                assert await operators_heard(process)
+                await asking.go_on(20)
+                await until(lambda: len(stage.drains.came) >= 10)
+                back = await stage.drain_unseen_and_come_back(1)
+                assert await stage.drain_kept(back, asking)
+                assert await operators_heard(process)
+                assert held(process) < LEAST
+                await asking.end()
+            assert stage.all_lived(asking)
+
+    run(play())
+
+
+def test_so_it_is_while_two_processes_are_one_sidecar(tmp_path):
+    async def play():
+        stage = await Stage().start()
+        folder = tmp_path / "shared"
+        folder.mkdir()
+        with contextlib.closing(socket.create_server((HOST, 0), backlog=512)) as listening:
+            port = listening.getsockname()[1]
+            old, new = (
+                Process(
+                    tmp_path / name,
+                    stage.config(LEAST),
+                    descriptors=LEAST,
+                    inherited=listening,
+                    folder=folder,
+                )
+                for name in ("old", "new")
+            )
+            async with old, Crowd(port):
+                await until(lambda: stage.discovery.fake.got)
+                asking = Asking(port)
+                stage.discovery.down()
+                await old.heard(b"discovery failed")
+                async with new:
+                    for process in (old, new):
+                        assert await operators_heard(process)
+                    await asking.go_on(20)
+                    await until(lambda: len(stage.drains.came) >= 10)
+                    back = await stage.drain_unseen_and_come_back(2)
+                    assert await stage.drain_kept(back, asking)
+                    assert held(old, new) < LEAST
+                    old.process.send_signal(signal.SIGTERM)
+                    assert await old.process.wait() == 0
+                    await asking.go_on(20)
+                    assert await operators_heard(new)
+                    await asking.end()
+            assert stage.all_lived(asking)
+
+    run(play())
+
+
+def test_clients_that_all_come_in_one_turn_of_the_loop_take_no_descriptor_beyond_their_share(tmp_path):
+    """The process is stopped until all of them, an operator and a request wait at its sockets."""
+
+    async def play():
+        stage = await Stage().start()
+        async with Process(tmp_path / "c", stage.config(LEAST), descriptors=LEAST) as process:
+            await until(lambda: stage.discovery.fake.got)
+            before = held(process)
+            process.process.send_signal(signal.SIGSTOP)
+            crowd = [socket.socket() for _ in range(CROWD)]
+            for one in crowd:
+                one.setblocking(False)
+                one.connect_ex((HOST, process.port))
+            calls = []
+            for port, said in ((process.operators, HEALTHY), (process.port, message("order", "a"))):
+                calls.append(socket.create_connection((HOST, port)))
+                calls[-1].sendall(said)
+            peak, over = 0, threading.Event()
+
+            def look():
+                nonlocal peak
+                while not over.is_set():
+                    peak = max(peak, held(process))
+
+            looking = threading.Thread(target=look)
+            looking.start()
+            process.process.send_signal(signal.SIGCONT)
+            for sock in calls:
+                reader, writer = await asyncio.open_connection(sock=sock)
+                async with asyncio.timeout(OPERATORS_WITHIN):
+                    assert (await read_message(reader)).code == 200
+                writer.close()
+            over.set()
+            looking.join()
+            share = Descriptors(LEAST).clients
+            assert before + share // 2 < peak < before + share + 20
+            for one in crowd:
+                one.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize("short", [False, True], ids=["by-count", "no-descriptor-left"])
+def test_a_sidecar_full_of_idle_clients_rests(tmp_path, short):
+    """Nobody comes again and nobody is ended, discovery up or down; then with no descriptor at accept."""
+
+    async def play():
+        (tmp_path / "o.toml").write_text(CALM)
+        stage = await Stage().start()
+        process = Process(tmp_path / "c", stage.config(LEAST), descriptors=LEAST)
+        process.arguments = ["--config", str(tmp_path / "o.toml")]
+        async with process:
+            await until(lambda: stage.discovery.fake.got)
+            empty = await used(process)
+            few = held(process) + Descriptors(LEAST).clients // 2
+            if short:  # clients may hold more by the count than there is
+                resource.prlimit(pid_of(process), resource.RLIMIT_NOFILE, (few, few))
+            async with Crowd(process.port, again=False):
+                await until(lambda: held(process) >= few)
+                full = await used(process)
+                stage.discovery.down()
+                await process.heard(b"discovery failed")
+                down = await used(process)
+                assert held(process) >= few
+                assert max(full, down) < empty + REST, (empty, full, down)
+            asking = Asking(process.port)
+            await asking.go_on(20)
+            await asking.end()
+
+    run(play())
+
+
+def test_the_count_goes_by_what_the_system_gives(monkeypatch):
+    descriptors = Descriptors(1024)
+    descriptors.cap(LEAST)
+    assert descriptors.limit == Descriptors(LEAST).limit and descriptors.clients == Descriptors(LEAST).clients
+    descriptors.cap(2 * LEAST)
+    assert descriptors.total == LEAST
+    monkeypatch.setattr(resource, "getrlimit", lambda _: (300, 400))
+    assert system_limit() == 300
+    monkeypatch.setattr(resource, "getrlimit", lambda _: (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+    assert system_limit() is None
