Call a failed discovery again in time to be told of what it has when it is back

A change counts as told 6 s after discovery had it and could be reached, also after a failed call. Once the span grows no more, calls are drawn from its last quarter, which they are spread over already, so fewer are made.

The test that wanted the directory itself to repeat an unanswered whole list is replaced: the module is told of a failure, asks again when it sees fit, and a late answer is taken all the same.

--- a/ochreflow/http/calls.py
+++ b/ochreflow/http/calls.py
@@ -10,7 +10,7 @@
 from ..policy.interface import State, Status
 from .upstream import Answer, Exchange, Upstreams
 
-CONNECT_WITHIN = 2.0
+CONNECT_WITHIN = 2.0  # seconds, as long as an answer may take: `policy/fleet.py` counts on no more
 IDLE_MOST = 30.0
 ANSWER_MOST = 4 * 1024 * 1024
 SERVICE = 0  # the one target
--- a/ochreflow/membership/directory.py
+++ b/ochreflow/membership/directory.py
@@ -6,7 +6,6 @@
 import json
 from collections.abc import Callable, Iterable
 from functools import partial
-from time import monotonic
 from typing import Protocol
 
 from ..core.address import split_address
@@ -115,6 +114,7 @@
         self.heard = heard
         self.pushed = pushed
         self.watching = False
+        self.doubtful = False  # the latest watch has fallen silent: a whole list shows who is there
         self.round = 0  # of watching: a call of an earlier one tells its news and goes on with nothing
         self.overdue: asyncio.TimerHandle | None = None  # of the latest watch
         self.taken = 0  # answers
@@ -128,7 +128,8 @@
         """Go over to another discovery at once, with a whole list first.
 
         Guards against the new one's index having begun anew, and against answers of the old one, which
-        counts no longer and soon closes its connections.
+        counts no longer and soon closes its connections. When to ask the new one is up to the module, since
+        all sidecars turn at once; the agent on the own machine has one caller.
         """
         if self.closed or address == self.address:
             return
@@ -137,17 +138,21 @@
         self.calls = self.calls_to(address)
         old.close()
         self.version = None
-        self.watching = False
-        self.watch(True)
+        self.watch(False)
+        if self.pushed:
+            self.watch(True)
+        else:
+            self.heard(None)
 
     def watch(self, on: bool) -> None:
         if on == self.watching:
             return
         self.watching = on
-        self._new_round()
+        self._new_round(False)
 
-    def _new_round(self) -> None:
+    def _new_round(self, doubtful: bool) -> None:
         self.round += 1
+        self.doubtful = doubtful
         if self.overdue is not None:
             self.overdue.cancel()
             self.overdue = None
@@ -160,19 +165,30 @@
     def _next_watch(self, number: int) -> None:
         if number != self.round:
             return
-        self.called = monotonic()
-        target, wait, overdue = "/api/targets", 0.0, self.waits.whole_overdue
-        if self.version is not None:
+        self.called = self.loop.time()
+        whole = self.doubtful or self.version is None
+        target, wait = "/api/targets", 0.0
+        if not whole:
             target += f"?after={self.version}&wait_ms={self.waits.wait_ms}"
             wait, overdue = self.waits.wait_ms / 1000, self.waits.overdue
-        self.overdue = self.loop.call_later(wait + overdue, self._ask_beside, number)
+        else:
+            overdue = self.waits.check_overdue if self.doubtful else self.waits.whole_overdue
+        self.overdue = self.loop.call_later(wait + overdue, self._call_overdue, number, whole)
         self._call(target, wait + ANSWER_WITHIN, partial(self._watched, number))
 
-    def _ask_beside(self, number: int) -> None:
-        """The watch has not answered in time: it may have fallen silent, so another one is opened now."""
-        if number == self.round:
+    def _call_overdue(self, number: int, whole: bool) -> None:
+        """A call has not answered in time: what it still says is taken, but it is not waited for."""
+        if number != self.round:
+            return
+        if not whole or self.doubtful:
             log.info("directory_overdue", version=self.version)
-            self._new_round()
+        if not whole:
+            self._new_round(True)
+            return
+        if self.doubtful:
+            # The module counts from now on, so a call begins now; its answer is one that is late.
+            self._call("/api/targets", ANSWER_WITHIN, partial(self._watched, number))
+        self._failed("no answer")
 
     def _call(self, target: str, within: float, done: Callable[[News | None, str], None]) -> None:
         calls, taken = self.calls, self.taken
@@ -207,25 +223,32 @@
         if number != self.round:
             if news is not None:
                 self._take(news)  # it was written to this sidecar, so it counts as told
+                self.watch(True)  # the module takes it for watching from here on
             return
         if self.overdue is not None:
             self.overdue.cancel()
             self.overdue = None
-        self._note(news, reason)
         if news is None:
-            self.watch(False)
-            if self.pushed:  # nobody asks the agent but this; the module only waits for what it tells
-                self.loop.call_later(self.waits.pushed_again, self.watch, True)
+            self._failed(reason)
+            return
+        self._note(news, reason)
+        self.doubtful = False
         try:
             self._take(news)
         finally:
-            if news is not None:
-                # Guards against asking an agent in a tight loop; a pause within 200 ms ends no watch.
-                pause = 0.0 if news.entries else CALLS_APART - (monotonic() - self.called)
-                if pause > 0.0:
-                    self.loop.call_later(pause, self._next_watch, number)
-                else:
-                    self._next_watch(number)
+            # Guards against asking an agent in a tight loop; a pause within 200 ms ends no watch.
+            pause = 0.0 if news.entries else CALLS_APART - (self.loop.time() - self.called)
+            if pause > 0.0:
+                self.loop.call_later(pause, self._next_watch, number)
+            else:
+                self._next_watch(number)
+
+    def _failed(self, reason: str) -> None:
+        self._note(None, reason)
+        self.watch(False)
+        if self.pushed:  # nobody asks the agent but this; the module only waits for what it tells
+            self.loop.call_later(self.waits.pushed_again, self.watch, True)
+        self._take(None)
 
     def _fetched(self, news: News | None, reason: str) -> None:
         self._note(news, reason)
--- a/ochreflow/policy/fleet.py
+++ b/ochreflow/policy/fleet.py
@@ -8,10 +8,14 @@
 DEMAND_SPAN = 5.0  # shortest deadlines over which the own requests are counted
 
 # Asking discovery, as parts of the time within which a sidecar must ask.
-WATCH_SPREAD = 0.05  # the first call and the first repeat of it are spread over this
+WATCH_SPREAD = 0.05  # the first call is spread over this
 WATCH_EACH = 0.007  # ... or over so much for each sidecar, where that is more: one service serves all
 WATCH_MOST = 0.6  # ... doubling up to this
 WATCH_LEAST = 0.1  # of the span at the least, to leave a failing registry alone
+WATCH_STEADY = 0.75  # ... once it grows no more: calls are spread by then, and fewer of them do
+
+TOLD_IN = 6 * SECOND  # by the protocol: what discovery has counts as told then, also after a failed call
+ANSWER = 2 * SECOND  # by the protocol: a call is answered or refused in this; so long a connect is tried
 
 
 class Fleet:
@@ -30,8 +34,10 @@
         self.demand = 0.0  # own requests a second
         self.demand_at = 0
         self.began = 0
-        self.watch_fails = 0
         self.watching = False
+        self.watch_at = 0  # 0: no call is due
+        self.span = 0.0  # over which the latest call after a failure was spread, in ns; 0: none has failed
+        self.asked_at = 0  # when the latest call began, as far as is known
 
     def regroup(self) -> None:
         """Rebuild the lists to sample from; only when a server changes state."""
@@ -71,16 +77,15 @@
     def take(self, event: Membership) -> float:
         """Take a list or changes; return the part of the servers sampled from that is left, at most 1."""
         if event.kind is ListKind.CACHED:
-            if self.ctx.settings.must_ask:
-                # Restarted ones: not all at once.
-                self.ctx.at(self.ctx.now + int(self.watch_span() * self.ctx.random.random()), WATCH)
+            self.watch_later()  # restarted ones: not all at once
         elif event.kind is ListKind.FAILED:
             self.watching = False
             self.watch_later()
             return 1.0
         else:
             self.watching = True
-            self.watch_fails = 0
+            self.span = 0.0
+            self.asked_at = self.ctx.now
         if event.kind is not ListKind.DELTA:
             present = {entry.server for entry in event.entries}
             for known in self.servers.values():
@@ -103,21 +108,25 @@
         return after / before if 0 < after < before else 1.0
 
     def watch_later(self) -> None:
-        if not self.ctx.settings.must_ask:
-            return
-        span = self.watch_span()
-        self.watch_fails += 1
-        self.ctx.at(self.ctx.now + int(span * self.ctx.random.uniform(WATCH_LEAST, 1.0)) + 1, WATCH)
+        """Ask again, over a span that spreads the calls of all sidecars and yet tells this one in time.
 
-    def watch_span(self) -> float:
-        """Over which the next call is spread, in ns.
-
-        Guards against forty sidecars that called a service of ten calls a second within half a second, and
-        again: what waited too long there was worked on all the same, and for whole minutes none got a list.
+        Guards against forty that called a service of ten calls a second within half a second, and again:
+        what waited too long was worked on all the same, and for whole minutes none got a list. Discovery may
+        be back since the failed call began: what it took, the span and an answer fit into TOLD_IN and grace.
         """
-        spread = max(WATCH_SPREAD, WATCH_EACH * self.ctx.settings.fleet_size)
-        return self.ctx.settings.must_ask_in_ns * min(WATCH_MOST, spread * 2**self.watch_fails)
+        settings, hung = self.ctx.settings, self.ctx.now - self.asked_at
+        if not settings.must_ask:
+            return
+        hung *= hung <= 2 * ANSWER  # longer: it had been taken, and waited for news
+        first = settings.must_ask_in_ns * max(WATCH_SPREAD, WATCH_EACH * settings.fleet_size)
+        told = TOLD_IN + settings.drain_grace_ns - ANSWER - hung
+        span = min(max(first, 2 * self.span), settings.must_ask_in_ns * WATCH_MOST, told)
+        least = WATCH_STEADY if self.span >= span else WATCH_LEAST
+        self.span = span
+        self.watch_at = self.ctx.now + int(span * self.ctx.random.uniform(least, 1.0)) + 1
+        self.ctx.at(self.watch_at, WATCH)
 
     def watch(self) -> None:
-        if not self.watching:
+        if not self.watching and 0 < self.watch_at <= self.ctx.now:  # else a later failure has put it off
+            self.watch_at, self.asked_at = 0, self.ctx.now
             self.ctx.actions.append(Watch(True))
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -40,7 +40,7 @@
 
 
 USUAL = waits(2_500_000_000)
-SHORT = Waits(wait_ms=50, overdue=0.05, whole_overdue=0.1, pushed_again=1.0)
+SHORT = Waits(wait_ms=50, overdue=0.05, whole_overdue=0.1, check_overdue=0.1, pushed_again=1.0)
 SLACK = 0.05  # seconds by which every limit grows on sockets
 
 
@@ -114,6 +114,9 @@
     for wait, overdue in ((times.wait_ms / 1000, times.overdue), (0.0, times.whole_overdue)):
         told = max(wait + TOLD_AFTER, 6.0)  # from the call on, where silence begins with it
         assert wait + overdue + TOLD_AFTER <= told + grace_ns / 1e9 + SLACK
+    answer = times.check_overdue  # as much is left for an answer where the call beside is silent as well
+    assert times.overdue + times.check_overdue + answer <= TOLD_AFTER + grace_ns / 1e9 + SLACK
+    assert answer >= (TOLD_AFTER - silence.OVERDUE_LEAST) / 2
     assert times.overdue < directory.ANSWER_WITHIN and times.whole_overdue < directory.ANSWER_WITHIN
     assert times.pushed_again <= max(grace_ns / 1e9 / 2, 0.05)
 
@@ -183,20 +186,60 @@
     run(play())
 
 
-def test_a_whole_list_that_does_not_come_is_asked_for_again():
+@pytest.mark.parametrize("late", [False, True], ids=["asked-again", "answered-late"])
+def test_a_whole_list_that_does_not_come_is_told_as_failed_and_asked_for_again(late):
+    """The module says when, as after any failure; what the late call still says is taken until then."""
+
     async def play():
         async def act(message, reader, writer):
-            await (hang if len(fake.got) == 1 else say(listing(3, entry("s1", f"{HOST}:7"))))(
-                message, reader, writer
-            )
+            if len(fake.got) == 1:
+                await go.wait()
+            if len(fake.got) <= 2:
+                writer.write(listing(3, entry("s1", f"{HOST}:7")))
+            else:
+                await reader.read()
 
+        go = asyncio.Event()
         fake = await Fake(act).start()
         heard = []
         watcher = asking(fake, None, heard, SHORT)
         watcher.watch(True)
         watcher.waits = USUAL  # only the first call is overdue soon
         await until(lambda: heard)
-        assert heard[0].complete and watcher.version == 3 and watcher.watching
+        assert heard == [None] and not watcher.watching and len(fake.got) == 1
+        if late:
+            go.set()
+        else:
+            watcher.watch(True)
+        await until(lambda: len(heard) > 1)
+        assert heard[1].complete and watcher.version == 3 and watcher.watching
+        await until(lambda: "after=3&" in fake.got[-1].first)
+        watcher.close()
+
+    run(play())
+
+
+def test_a_call_beside_a_silent_watch_that_is_silent_too_is_followed_by_another_at_once():
+    """The first two calls are never answered: the third is made before the module is asked for a time."""
+
+    async def play():
+        async def act(message, reader, writer):
+            if len(fake.got) != 3:
+                await reader.read()
+            else:
+                writer.write(listing(41, entry("s1", f"{HOST}:7", "DRAINING")))
+
+        fake = await Fake(act).start()
+        heard = []
+        watcher = asking(fake, 40, heard, SHORT)
+        watcher.watch(True)
+        await until(lambda: heard)
+        watcher.waits = USUAL  # only the first two calls are overdue soon
+        await until(lambda: len(fake.got) == 4)
+        assert [told and told.version for told in heard] == [None, 41] and watcher.watching
+        targets = [got.first.split()[1] for got in fake.got]
+        assert targets[1:3] == ["/api/targets"] * 2
+        assert "after=40&" in targets[0] and "after=41&" in targets[3]
         watcher.close()
 
     run(play())
