--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -175,9 +175,12 @@
 
     def __init__(self, loop, registry):
         self.loop, self.registry = loop, registry
+        self.watched = 0.0  # when the latest watch was asked for
 
     def get(self, target, within, done):
         asked = Asked(done, target, self.loop.now)
+        if asked.after is not None:
+            self.watched = self.loop.now
         self.loop.call_later(within, asked.end, None, "TIMEOUT")
         self.registry.get(asked)
 
@@ -284,6 +287,27 @@
     return max(at - since - WAIT_MS / 1000 for at, since in zip(told, began, strict=True))
 
 
+def mute(fleet, grace, lasts, nodes=200, answer=0.02):
+    """Open watches fall silent, calls are swallowed for so long: how far beyond its limit the last is told.
+
+    A change made at the return counts as told TOLD_IN later, or TOLD_AFTER beyond the wait of a watch that
+    was asked for before and is out still.
+    """
+    world = World(fleet, grace, nodes, answer=answer)
+    world.loop.run(30.0)
+    world.registry.fall_silent()
+    world.registry.manner = "mute"
+    back = 30.0 + lasts
+    world.loop.run(back)
+    world.registry.manner = "up"
+    waits_end = [node.directory.calls.watched + WAIT_MS / 1000 for node in world.nodes]
+    world.registry.change()
+    world.loop.run(back + 60.0)
+    limits = [max(back + TOLD_IN, end + TOLD_AFTER) + grace + SLACK for end in waits_end]
+    told = [node.told.get(2, float("inf")) for node in world.nodes]
+    return max(at - limit for at, limit in zip(told, limits, strict=True))
+
+
 def moved(manner, fleet, grace, lasts, nodes=200, answer=ANSWER):
     """A SIGHUP to an address that is up only after so long: how late, from then on."""
     world = World(fleet, grace, nodes, answer=answer)
@@ -340,7 +364,7 @@
 
 FLEETS = (6, 30, 200)
 MANNERS = ("503", "late 503", "refused", "never up")
-LASTS = (0.5, 3.0, 8.0, 20.0, 21.3)  # seconds
+LASTS = (0.0, 0.5, 3.0, 8.0, 20.0, 21.3)  # seconds
 
 
 @pytest.mark.parametrize("grace", GRACES)
@@ -369,6 +393,14 @@
         assert late <= TOLD_AFTER + grace + SLACK
 
 
+@pytest.mark.parametrize("grace", GRACES)
+@pytest.mark.parametrize("fleet", FLEETS)
+def test_a_discovery_that_swallowed_calls_for_a_while_tells_in_time_when_it_is_back(fleet, grace):
+    answer = waits(int(grace * SECOND)).check_overdue
+    for lasts in MUTES:
+        assert mute(fleet, grace, lasts, nodes=40, answer=answer) <= 0.0
+
+
 def test_times_that_the_parts_count_on_agree():
     assert fleet_module.ANSWER == TOLD_AFTER * SECOND == ANSWER * SECOND
     assert CONNECT_WITHIN <= ANSWER < directory.ANSWER_WITHIN
@@ -447,6 +479,9 @@
             actions = balancer.handle(now, Timer(timer.token))
 
 
+MUTES = (1.0, 10.0, 18.0, 21.0, 23.0, 25.0, 30.0, 45.0, 70.0)  # seconds
+
+
 def tables():
     print("term: the last sidecar told, in seconds after discovery's return; an answer takes 2 s")
     for grace, fleet in itertools.product(GRACES, FLEETS):
@@ -458,6 +493,10 @@
     for grace, fleet in itertools.product(GRACES, FLEETS):
         row = [silences(fleet, grace, n, answer=a) for a in (0.02, 1.0) for n in (1, 2, 3)]
         print(grace, fleet, f"limit {TOLD_AFTER + grace + SLACK:.2f}", [round(v, 2) for v in row])
+    print("swallowed calls: seconds of the last one told beyond its limit; answers take 20 ms, then 1 s")
+    for grace, fleet in itertools.product(GRACES, FLEETS):
+        row = [max(mute(fleet, grace, lasts, answer=a) for lasts in MUTES) for a in (0.02, 1.0)]
+        print(grace, fleet, [round(v, 2) for v in row])
     print("load: calls a second (mean, worst second), discovery of nine calls a second")
     for manner, grace, fleet in itertools.product(("503", "late 503"), (0.5, 2.5), FLEETS):
         print(manner, grace, fleet, load(fleet, manner, grace))
