Test that a long outage draws few calls, and say how the tables of discovery are made

That calls are drawn from the last quarter of a span that grows no more had only the test of missing whole lists behind it.

--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -1,7 +1,7 @@
 """When a sidecar is told once discovery is back, and what all of them ask meanwhile: in simulated time.
 
-The module and the directory are the real ones; the loop and discovery are played. `python tests/test_told.py`
-prints the tables of `docs/design/discovery.md`.
+The module and the directory are the real ones; the loop and discovery are played. `PYTHONPATH=. python
+tests/test_told.py` prints the tables of `docs/design/discovery.md`.
 """
 
 import heapq
@@ -446,6 +446,17 @@
     assert 0 < calls(9) <= calls(1) * 1.2
 
 
+def test_in_a_long_outage_each_sidecar_asks_hardly_more_often_than_it_must():
+    """A mean wait of 0.55 of the span cost a third more calls, and told nobody in better time."""
+    world = World(200, 0.5)
+    world.loop.run(30.0)
+    world.registry.manner = "503"
+    world.registry.reset()
+    world.loop.run(90.0)
+    mean, worst = a_second(world.registry.calls, 50.0, 90.0)
+    assert mean <= 200 / (0.85 * 4.5) and worst <= 75
+
+
 @pytest.mark.parametrize("late", [1.0, 3.0], ids=["before-the-next-call", "after-it"])
 def test_an_answer_that_comes_after_its_watch_was_given_up_leaves_the_sidecar_watching(late):
     """The watch beside a silent one fails, the silent one answers: the module then thought it watched."""
