--- a/ochreflow/cli/main.py
+++ b/ochreflow/cli/main.py
@@ -6,6 +6,7 @@
 import json
 import os
 import sys
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import click
@@ -248,6 +249,22 @@
     return run(list(courses or COURSES), seeds, jobs, html)
 
 
+@lab.command(name="pace", epilog=_example("ochreflow lab pace 30/10 30/60 --seeds 4 --jobs 4"))
+@click.argument("fleets", nargs=-1, metavar="[SIDECARS/SERVERS...]")
+@click.option("--seeds", type=click.IntRange(1, 1000), default=20, show_default=True, help="Runs of each.")
+@click.option("--jobs", type=click.IntRange(1, 64), default=1, show_default=True, help="Runs at a time.")
+@click.option("--slow", is_flag=True, help="Cold servers work at their ramp's speed, not sooner.")
+@click.option("--program", type=click.Path(path_type=Path), help="Another checkout, whose module is played.")
+def lab_pace(fleets: tuple[str, ...], seeds: int, jobs: int, slow: bool, program: Path | None) -> int:
+    """Measure, in simulated time, what all sidecars together send to cold servers against what one bears."""
+    from ..rehearsal.pace import FLEETS, run
+
+    known = [f"{sidecars}/{servers}" for sidecars, servers in FLEETS]
+    if unknown := [name for name in fleets if name not in known]:
+        raise click.UsageError(f"{unknown[0]}: no such fleet; there are {', '.join(known)}")
+    return run(list(fleets), slow, seeds, jobs, program)
+
+
 @lab.command(epilog=_example("ochreflow lab fault --to 127.0.0.1:7070 --script faults.toml --seed 7"))
 @click.option("--to", "target", metavar="ADDRESS", required=True, help="Where traffic goes on.")
 @click.option("--listen", metavar="ADDRESS", default="127.0.0.1:0", show_default=True)
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -1,8 +1,11 @@
 """The pace to cold servers: what it gives back, and that it holds for a fleet."""
 
+import pytest
 from helpers import MS, SECOND, endpoint, make
+from test_operator_file import command
 
 from ochreflow.policy.interface import ListKind, Membership
+from ochreflow.rehearsal.pace import over, ramped, worst
 
 
 def restarted(balancer, now):
@@ -36,3 +39,24 @@
     balancer.pace.allows(server, 0, True)
     balancer.pace.give_back(server, 0, now)
     assert server.cold_tokens == 0.0
+
+
+def test_windows_are_held_against_what_the_ramp_allowed_in_them():
+    assert ramped(12.0) == pytest.approx(12.0 * (0.15 + 1.0) / 2)
+    assert ramped(16.0) - ramped(12.0) == pytest.approx(4.0)
+    even = [number / 100 for number in range(1, 1100)]  # a hundred a second: five times a warm one
+    slack, sends, budget = worst(even)[0]
+    assert 0 < sends <= 301  # no more than its three seconds hold
+    assert slack == over(sends, budget) > 1.0
+    assert worst([]) == [] and worst([13.0]) == []
+    assert over(31, 25.0) == pytest.approx(0.5)
+
+
+def test_the_command_prints_a_line_for_each_part_that_is_cold():
+    done = command("lab", "pace", "5/10", "--seeds", "1")
+    assert done.returncode == 0, done.stderr
+    lines = done.stdout.splitlines()
+    assert [line[18:28].strip() for line in lines[1:]] == ["one", "a fifth", "six tenths", "all"]
+    assert all(float(line.split()[-1]) > 0.3 for line in lines[1:])
+    done = command("lab", "pace", "6/10")
+    assert done.returncode == 2 and "no such fleet" in done.stderr and done.stderr.count("\n") == 1
