--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -1,11 +1,11 @@
 """The pace to cold servers: what it gives back, and that it holds for a fleet."""
 
 import pytest
-from helpers import MS, SECOND, endpoint, make
+from helpers import MS, SECOND, START, endpoint, make, send_one, serve
 from test_operator_file import command
 
 from ochreflow.policy.interface import ListKind, Membership
-from ochreflow.rehearsal.pace import over, ramped, worst
+from ochreflow.rehearsal.pace import PARTS, over, play, ramped, worst
 
 
 def restarted(balancer, now):
@@ -41,6 +41,48 @@
     assert server.cold_tokens == 0.0
 
 
+def test_a_start_that_lies_ahead_of_the_own_clock_is_no_crash_where_nothing_warms_up():
+    balancer, now = make(entries=[endpoint(1, started=START + 5 * SECOND)], warm_within_ns=0)
+    assert send_one(balancer, now, 1).server == 1
+
+
+def test_a_fleet_that_knows_what_a_server_can_do_does_not_earn_more_by_being_answered():
+    """Each answer allowed one and a half more: thirty sidecars grew together past what one server bears."""
+    balancer, now = make(entries=[endpoint(1), endpoint(2)], fleet_size=30)
+    now, _ = serve(balancer, now, range(100), 50 * MS)
+    server = restarted(balancer, now)
+    balancer.pace.allows(server, 0, True)
+    taken = server.cold_tokens
+    balancer.pace.earn(server, 0)
+    assert server.cold_tokens == taken
+
+
+def test_a_sidecar_that_knows_no_warm_server_earns_by_answers():
+    balancer, now = make(entries=[endpoint(9, started=START)], fleet_size=30)
+    server = balancer.fleet.servers[9]
+    balancer.ctx.now = now
+    balancer.pace.allows(server, 0, True)
+    taken = server.cold_tokens
+    balancer.pace.earn(server, 0)
+    assert server.cold_tokens > taken + 1.0
+
+
+def test_ten_cold_servers_bear_the_sum_of_what_thirty_sidecars_send():
+    """With the pace before, the first of these came to 0.74 of what is put down to chance."""
+    found = [play(30, 10, PARTS["all"], False, seed) for seed in (1, 4)]
+    assert max(one.slack for one in found) <= 0.4, found
+    assert sum(one.of_ramp for one in found) > 0.5 * len(found)  # it isn't kept by sending nothing
+
+
+@pytest.mark.parametrize("slow", [False, True])
+def test_one_cold_server_among_few_sidecars_is_put_to_use(slow):
+    """Of what it can do: a slow one can do its ramp, and the pick rightly leaves it some of that."""
+    found = [play(5, 10, PARTS["one"], slow, seed) for seed in (1, 2, 3)]
+    assert max(one.slack for one in found) <= 0.4, found
+    used = [one.of_ramp if slow else one.of_capacity for one in found]
+    assert sum(used) > 0.35 * len(found)
+
+
 def test_windows_are_held_against_what_the_ramp_allowed_in_them():
     assert ramped(12.0) == pytest.approx(12.0 * (0.15 + 1.0) / 2)
     assert ramped(16.0) - ramped(12.0) == pytest.approx(4.0)
