--- a/ochreflow/policy/records.py
+++ b/ochreflow/policy/records.py
@@ -60,8 +60,7 @@
         self.last_ok = 0
         self.sound = 1.0  # smoothed part of its answers that are no errors
         self.answers = True  # whether the latest news of it was an answer, if only an error
-        self.load = 0.0  # requests held, as last reported
-        self.load_at = 0
+        self.load, self.load_at = 0.0, 0  # requests held, as last reported, and when
         self.unit = 0.0  # smoothed latency for each request held, in class means; 0: not known
         self.strikes = 0.0
         self.ejected = False
