--- a/ochreflow/policy/fleet.py
+++ b/ochreflow/policy/fleet.py
@@ -115,9 +115,8 @@
         settings, hung = self.ctx.settings, self.ctx.now - self.asked_at
         if not settings.must_ask:
             return
-        hung *= hung <= 2 * ANSWER  # longer: it had been taken, and waited for news
         first = settings.must_ask_in_ns * max(WATCH_SPREAD, WATCH_EACH * settings.fleet_size)
-        told = TOLD_IN + settings.drain_grace_ns - ANSWER - hung
+        told = TOLD_IN + settings.drain_grace_ns - ANSWER - hung * (hung <= 2 * ANSWER)  # longer: was taken
         span = min(max(first, 2 * self.span), settings.must_ask_in_ns * WATCH_MOST, told)
         least = WATCH_STEADY if self.span >= span else WATCH_LEAST
         self.span = span
