Bar an attempt at whose first byte the module fails, and lose no answer by it

A connection that has just brought an answer is offered to the next attempt before that answer is handed on, so an exception there lost a whole answer of another request, and a connection. Change: such an attempt is barred and the fault logged, as post does for events. Behaviour without a fault is as before.

--- a/ochreflow/core/engine.py
+++ b/ochreflow/core/engine.py
@@ -420,7 +420,12 @@
             return 0.0
         if held.owed_to.gone(call):
             return 0.0
-        end = self.balancer.write_by(now, held.id, attempt.number)
+        try:
+            end = self.balancer.write_by(now, held.id, attempt.number)
+        except Exception:
+            # Guards the answer and the connection of whoever is being served in this turn.
+            self.fault("the module failed on a first byte")
+            return 0.0
         return math.inf if end >= NO_END else max(end - now, 0) / SECOND
 
     def uploaded(self, held: Held, attempt: Attempt) -> None:
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -20,6 +20,7 @@
     message,
     news,
     read_message,
+    reply,
     reset,
     run,
     until,
@@ -285,6 +286,37 @@
     run(play())
 
 
+def test_a_fault_of_the_module_at_a_first_byte_loses_neither_an_answer_nor_a_connection(tmp_path):
+    """The connection of an answer just come is offered to the one that waits: there the module fails."""
+
+    async def play():
+        async def act(got, reader, writer):
+            await go.wait()
+            writer.write(reply(200, b"whole"))
+
+        go = asyncio.Event()
+        server = await Fake(act).start()
+        stage = Stage(tmp_path, [entry("s0", server.address)])
+        async with stage.sidecar as sidecar, client(sidecar, message("order", "first")) as (first, _):
+            await until(lambda: server.got)
+            stage.hold()
+            async with client(sidecar, message("order", "second")) as (second, _):
+                await stage.held()
+
+                def fail(*_):
+                    raise RuntimeError("as if it had a fault")
+
+                stage.engine.balancer.write_by = fail
+                go.set()
+                async with asyncio.timeout(WAIT):
+                    assert (await read_message(first)).body == b"whole"
+                    assert (await read_message(second)).code == 503
+            assert len(server.got) == 1
+            assert len(sidecar.upstreams.targets[stage.names.server("s0")].idle) == 1
+
+    run(play())
+
+
 async def pool_and_server():
     """A pool, and a server that reads nothing until it is told."""
     server = socket.socket()
