Tell a server the time that is left as the first byte goes out

Seen in a test: a server was told 1484 ms where 600 were left.

Change: the carrier asks its watcher, Watcher.time_left, in the turn in which the head is written; the engine works it out from the client's deadline at that instant, or all of its patience while the body still comes. The rest of the head is still made at the start, so a fault there is met as before. wait_ns is no longer handed from the engine to the carrier.

Result: two cases of a new test fail with the time taken at the start (1484 and 1463 ms told, 600 left); a third keeps the whole patience for a body that still comes. Tests of the first byte, requests, fronts, streaming, endings, clients that left, discovery and connections to servers pass.

--- a/ochreflow/core/engine.py
+++ b/ochreflow/core/engine.py
@@ -60,20 +60,26 @@
 class Attempt:
     """One attempt, from its start to its one end. Its carrier tells it what becomes of it."""
 
-    __slots__ = ("answered_ns", "carriage", "engine", "held", "number", "sent_ns", "server")
+    __slots__ = ("answered_ns", "carriage", "engine", "held", "number", "sent_ns", "server", "timeout_ns")
 
-    def __init__(self, engine: Engine, held: Held, number: int, server: int, sent_ns: int) -> None:
+    def __init__(
+        self, engine: Engine, held: Held, number: int, server: int, sent_ns: int, timeout_ns: int
+    ) -> None:
         self.engine = engine
         self.held = held
         self.number = number
         self.server = server
         self.sent_ns = sent_ns  # when it began: for a body that was still coming, when that was through
+        self.timeout_ns = timeout_ns  # from its start, as the module has it; 0: what its request has left
         self.answered_ns = 0  # when its answer began to go on to the client
         self.carriage: Carriage | None = None  # None: it failed while it was being made
 
     def write_within(self) -> float:
         return self.engine.write_within(self.held, self)
 
+    def time_left(self) -> int:
+        return self.engine.time_left(self.held, self)
+
     def written(self) -> None:
         self.engine.stats.forwarded()
         if self.held.uploading:
@@ -396,18 +402,26 @@
         if held is None:
             return  # over already: the module was told, or will be by an event in the queue
         now = self.now()
-        attempt = Attempt(self, held, held.attempts, action.server, now)
+        attempt = Attempt(self, held, held.attempts, action.server, now, action.timeout_ns)
         held.attempts += 1
         self.attempts[held.id, attempt.number] = attempt
         call = held.call
-        flowing = not call.body.complete
-        last = call.wait_ns if flowing else call.deadline_ns - ATTEMPT_MARGIN_NS - now
-        wait = min(action.timeout_ns, last) if action.timeout_ns > 0 else last
+        wait = self.time_left(held, attempt)
         if held.attempts > self.settings.max_attempts or wait <= 0 or call.body.spent:
             self.end_attempt(held, attempt, Status.MOOT, None, ())
             return
-        timeout = None if flowing else wait / SECOND
-        attempt.carriage = held.door.carrier.start(action.server, call, wait, timeout, attempt)
+        timeout = wait / SECOND if call.body.complete else None
+        attempt.carriage = held.door.carrier.start(action.server, call, timeout, attempt)
+
+    def time_left(self, held: Held, attempt: Attempt) -> int:
+        """What is left to an attempt at this instant: see `Watcher.time_left`.
+
+        Guards a server against work for nobody: told at the decision, a connection that came up late made it
+        more than the client still waited. The client's time runs from the last byte of its body.
+        """
+        call, now = held.call, self.now()
+        left = call.deadline_ns - ATTEMPT_MARGIN_NS - now if call.body.complete else call.wait_ns
+        return min(left, attempt.sent_ns + attempt.timeout_ns - now) if attempt.timeout_ns > 0 else left
 
     def write_within(self, held: Held, attempt: Attempt) -> float:
         """The one guard of an attempt's first byte: see `Watcher.write_within`.
--- a/ochreflow/core/ports.py
+++ b/ochreflow/core/ports.py
@@ -99,6 +99,10 @@
         """
         ...
 
+    def time_left(self) -> int:
+        """How long its server is told to take at the most, in ns, as it stands when that is written."""
+        ...
+
     def written(self) -> None:
         """Its last byte has been written: from here on it may have run."""
         ...
@@ -143,10 +147,8 @@
 class Carrier(Protocol):
     """Whatever carries attempts to servers in one protocol."""
 
-    def start(
-        self, server: int, call: Call, wait_ns: int, timeout: float | None, watcher: Watcher
-    ) -> Carriage:
-        """Send an attempt, which the server is told to answer within `wait_ns`.
+    def start(self, server: int, call: Call, timeout: float | None, watcher: Watcher) -> Carriage:
+        """Send an attempt, which the server is told to answer within the `time_left` that its watcher has.
 
         Its end is told later, never from within this call. Without `timeout`, in seconds, it waits until
         it is told to wait no longer: its body is still coming.
--- a/ochreflow/http/calls.py
+++ b/ochreflow/http/calls.py
@@ -33,8 +33,8 @@
             else:
                 done(None, status.name if answer is None else f"answer {answer.code}")
 
-        payload = f"GET {target} HTTP/1.1\r\nHost: {self.host}\r\nAccept: application/json\r\n\r\n"
-        self.upstreams.start(SERVICE, Exchange(payload.encode(), ended, ANSWER_MOST), within)
+        head = f"GET {target} HTTP/1.1\r\nHost: {self.host}\r\nAccept: application/json\r\n\r\n".encode()
+        self.upstreams.start(SERVICE, Exchange(lambda: head, ended, ANSWER_MOST), within)
 
     def close(self) -> None:
         self.upstreams.close()
--- a/ochreflow/http/carrier.py
+++ b/ochreflow/http/carrier.py
@@ -20,14 +20,16 @@
         self.reports = Reports(report_columns)
         self.probe_path = b"/-/load" if report_columns else b"/-/healthy"
 
-    def start(
-        self, server: int, call: Call, wait_ns: int, timeout: float | None, watcher: Watcher
-    ) -> Carriage:
+    def start(self, server: int, call: Call, timeout: float | None, watcher: Watcher) -> Carriage:
         assert isinstance(call, HttpCall)
-        payload = self._payload(call, wait_ns)
+        payload = self._payload(call)
         body: Body | None = call.body
         if not call.is_write and call.body.complete and not call.body.size:
-            payload, body = payload + b"\r\n", None
+            body = None
+
+        def head() -> bytes:
+            left = max(watcher.time_left() // MS, 1)
+            return b"%sX-Deadline: %dm\r\n%s" % (payload, left, b"\r\n" if body is None else b"")
 
         def done(_: Exchange, status: Status, answer: Answer | None) -> None:
             report: tuple[float, ...] = ()
@@ -35,19 +37,14 @@
                 report = self.reports.read(answer.load)
             watcher.ended(status, answer, report)
 
-        exchange = Exchange(payload, done, HOLD_MOST, watcher.written, body, watcher, watcher.write_within)
+        exchange = Exchange(head, done, HOLD_MOST, watcher.written, body, watcher, watcher.write_within)
         self.upstreams.start(server, exchange, timeout)
         return exchange
 
     @staticmethod
-    def _payload(call: HttpCall, wait_ns: int) -> bytes:
-        """The head, without its end: only at the time of writing it is known how the body is framed."""
-        return b"%s %s HTTP/1.1\r\n%sX-Deadline: %dm\r\n" % (
-            call.method,
-            call.target,
-            b"".join(call.headers),
-            max(wait_ns // MS, 1),
-        )
+    def _payload(call: HttpCall) -> bytes:
+        """The head, less what is known only as it is written: the time left, and the framing of the body."""
+        return b"%s %s HTTP/1.1\r\n%s" % (call.method, call.target, b"".join(call.headers))
 
     def probe(self, server: int, timeout: float, done: Callable[[Status, tuple[float, ...]], None]) -> None:
         def ended(_: Exchange, status: Status, answer: Answer | None) -> None:
@@ -56,8 +53,8 @@
                 report = self.reports.read(answer.load or answer.body.strip())
             done(status, report)
 
-        payload = b"GET %s HTTP/1.1\r\nHost: probe\r\n\r\n" % self.probe_path
-        self.upstreams.start(server, Exchange(payload, ended, HOLD_MOST), timeout)
+        head = b"GET %s HTTP/1.1\r\nHost: probe\r\n\r\n" % self.probe_path
+        self.upstreams.start(server, Exchange(lambda: head, ended, HOLD_MOST), timeout)
 
     def update(self, server: int, address: Address, since_ms: int, state: State) -> None:
         self.upstreams.update(server, address, since_ms, state)
--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -91,11 +91,11 @@
         "connection",
         "done",
         "generation",
+        "head",
         "late",
         "loop",
         "opening",
         "paused",
-        "payload",
         "relay",
         "timer",
         "within",
@@ -104,7 +104,7 @@
 
     def __init__(
         self,
-        payload: bytes,
+        head: Callable[[], bytes],
         done: Done,
         answer_most: int,
         written: Callable[[], None] | None = None,
@@ -112,11 +112,12 @@
         relay: Relay | None = None,
         within: Callable[[], float] | None = None,
     ) -> None:
-        self.payload = payload
+        # Made as it is written, since it tells the time that is left. None: it has ended.
+        self.head: Callable[[], bytes] | None = head
         self.done: Done | None = done
         self.answer_most = answer_most  # of an answer that is held
         self.written = written  # called once, when its last byte has been written
-        self.body = body  # follows the payload, and may still be coming
+        self.body = body  # follows the head, and may still be coming
         self.relay = relay  # for an answer that is not held; None: every answer is
         self.within = within  # asked as its first byte is to go out: see `Watcher.write_within`
         self.generation = 0  # of its server when it was started
@@ -150,7 +151,7 @@
         if self.late is not None:
             self.late.cancel()
             self.late = None
-        self.written = self.relay = self.within = None  # they refer to this as well
+        self.head = self.written = self.relay = self.within = None  # they refer to this as well
         done(self, status, answer)
 
     def wait(self, seconds: float) -> None:
@@ -507,7 +508,8 @@
         except OSError:
             return False
         body = exchange.body
-        payload = exchange.payload if body is None else exchange.payload + _framed(body)
+        assert exchange.head is not None
+        payload = exchange.head() if body is None else exchange.head() + _framed(body)
         try:
             sent = self.sock.send(payload)
         except BlockingIOError:
--- a/tests/line_front.py
+++ b/tests/line_front.py
@@ -85,7 +85,7 @@
         self.gate = asyncio.Event()
         self.gate.set()
 
-    def start(self, server, call, wait_ns, timeout, watcher):
+    def start(self, server, call, timeout, watcher):
         carriage = LineCarriage(self, self.addresses.get(server, (HOST, 1)), call, watcher)
         self.waiting.setdefault(server, []).append(carriage)
         if timeout is not None:
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -339,7 +339,7 @@
         end = loop.create_future()
         payload = b"GET / HTTP/1.1\r\n\r\n" + bytes(size)
         exchange = Exchange(
-            payload,
+            lambda: payload,
             lambda _, status, answer: end.set_result(status),
             64 * 1024,
             within=lambda: 0.2,
@@ -366,7 +366,7 @@
         pool, server = await pool_and_server()
         end = loop.create_future()
         exchange = Exchange(
-            b"GET / HTTP/1.1\r\n\r\n",
+            lambda: b"GET / HTTP/1.1\r\n\r\n",
             lambda _, status, answer: end.set_result(status),
             64 * 1024,
             within=lambda: 0.05,
@@ -384,3 +384,60 @@
         pool.close()
 
     run(play())
+
+
+def told(got):
+    """What a server was told to take at the most, in ms."""
+    return int(got.headers["x-deadline"].removesuffix("m"))
+
+
+@pytest.mark.parametrize("further", [False, True], ids=["first", "further"])
+def test_a_server_is_told_the_time_that_is_left_when_its_connection_is_up(tmp_path, further):
+    """Not what was left at the decision: on a day of late connections a quarter told more than there was."""
+
+    async def play():
+        stages = []
+        servers = [await Fake(once(stages) if further else answer_ok).start() for _ in range(2)]
+        stage = Stage(tmp_path, [entry(f"s{n}", server.address) for n, server in enumerate(servers)])
+        stages.append(stage)
+        if not further:
+            stage.hold()
+        async with (
+            stage.sidecar as sidecar,
+            client(sidecar, message("lookup", deadline="1500m")) as (reader, _),
+        ):
+            await stage.held()
+            for server in servers:
+                server.act = answer_ok
+            stage.put_forward(900 * MS)
+            stage.loop.open.set()
+            assert (await read_message(reader)).code == 200
+            *before, last = sorted((got for server in servers for got in server.got), key=told, reverse=True)
+            assert len(before) == further
+            assert 0 < told(last) <= 600
+            assert all(600 < told(got) < 1500 for got in before)
+
+    run(play())
+
+
+def test_a_server_is_told_all_of_a_clients_patience_while_the_body_still_comes(tmp_path):
+    """The client's time runs from its last byte, however long its connection took to come up."""
+
+    async def play():
+        server = await Fake(answer_ok).start()
+        stage = Stage(tmp_path, [entry("s0", server.address)])
+        async with stage.sidecar as sidecar:
+            stage.hold()
+            body = b"x" * (256 * 1024)
+            whole = message("order", body=body)
+            cut = len(whole) - 1000
+            async with client(sidecar, whole[:cut]) as (reader, writer):
+                await stage.held()
+                stage.put_forward(900 * MS)
+                stage.loop.open.set()
+                await until(lambda: any(one.carriage.begun for one in stage.engine.attempts.values()))
+                writer.write(whole[cut:])
+                assert (await read_message(reader)).code == 200
+                assert told(server.got[0]) == 3000 and server.got[0].body == body
+
+    run(play())
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -27,7 +27,9 @@
 def start(pool, server=1, timeout=WAIT, payload=PAYLOAD):
     """An exchange and the future of its end."""
     end = asyncio.get_running_loop().create_future()
-    exchange = Exchange(payload, lambda _, status, answer: end.set_result((status, answer)), 64 * 1024)
+    exchange = Exchange(
+        lambda: payload, lambda _, status, answer: end.set_result((status, answer)), 64 * 1024
+    )
     pool.start(server, exchange, timeout)
     return exchange, end
 
