End a stand-in node of a pod with its timer and connections, so none writes to a closed ledger

Cause: Place.end closed the ledger of a node while the process of its pod lives on. Three things reached it after that, each an uncaught ValueError: the timer of work in hand (Node._wake), the loss of its connections, which the loop tells a turn later (Node._left, which also set the timer anew), and a request on a connection that had been accepted but whose transport came up only after the cut (Connection.cut did nothing without a transport).

Change: Node.close cancels the timer and lets go of what is in hand before it cuts; a connection that is cut before its transport comes up is ended as soon as it does. The ledger itself stays strict: a write after its end is still an error.

--- a/ochreflow/lab/directory.py
+++ b/ochreflow/lab/directory.py
@@ -59,6 +59,10 @@
         self.down = False  # answers nobody but the lab
         self.service = Service(self.serve)
 
+    def close(self) -> None:
+        """End as a process that is killed does."""
+        self.service.cut_all()
+
     def put(self, entry: dict[str, Any]) -> None:
         """Add or change an entry, and tell whoever watches."""
         self.index += 1
--- a/ochreflow/lab/node.py
+++ b/ochreflow/lab/node.py
@@ -56,6 +56,15 @@
         work = Work(ident, cls, key, token, times, asked.connection.number)
         self._do(self.model.arrive(monotonic(), self.number, work))
 
+    def close(self) -> None:
+        """End as a process that is killed does: what is in hand never runs, and nothing more is written."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        self.asked.clear()
+        self.on.clear()  # the loss of these connections, which the loop tells later, is nobody's any more
+        self.service.cut_all()
+
     def _left(self, connection: Connection) -> None:
         number = self.on.pop(connection, None)
         if number is not None:
--- a/ochreflow/lab/serving.py
+++ b/ochreflow/lab/serving.py
@@ -46,7 +46,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.waiting: deque[Asked] = deque()
         self.busy = False
-        self.unwelcome = False  # there are too many
+        self.unwelcome = False  # there are too many, or it was cut before its transport came up
         self._begin()
 
     def _begin(self) -> None:
@@ -125,6 +125,8 @@
     def cut(self) -> None:
         if self.transport is not None:
             self.transport.abort()
+        else:
+            self.unwelcome = True
 
 
 class Service:
--- a/ochreflow/lab/stand_in.py
+++ b/ochreflow/lab/stand_in.py
@@ -40,7 +40,7 @@
 
     def end(self) -> None:
         self.server.close()
-        self.made.service.cut_all()
+        self.made.close()
         self.ledger.close()
 
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -16,8 +16,9 @@
 from ochreflow.lab.judge import RULES, SECOND, judge
 from ochreflow.lab.ledger import Ledger, read
 from ochreflow.lab.load import Load
-from ochreflow.lab.model import Traits
+from ochreflow.lab.model import Pod, Traits
 from ochreflow.lab.node import Node
+from ochreflow.lab.stand_in import open_place
 
 ROOT = Path(__file__).parent.parent
 
@@ -103,6 +104,68 @@
     assert kinds(with_node(tmp_path, hard, room=1000, **traits))["fell"] == 1
 
 
+@pytest.mark.parametrize("moment", ["work is due", "a request waits", "a connection comes"])
+def test_a_node_of_a_pod_that_ends_writes_nothing_more_and_leaves_the_others_alone(tmp_path, moment):
+    """Guards the ledger's end: work, waiting requests and connections of an ended node cross it."""
+
+    async def play():
+        loop = asyncio.get_running_loop()
+        uncaught = []
+        loop.set_exception_handler(lambda _, context: uncaught.append(context))
+        pod, work = Pod(), {"assign": 0.2}
+        options = [{"name": name, "cores": 1, "warm_within": 0.0, "work": work} for name in ("n", "m")]
+        first, other = [await open_place("nodes", tmp_path, one, pod) for one in options]
+        first.made.end = first.end
+        port, beside = (int(place.address.split(":")[1]) for place in (first, other))
+        writers = []
+        taken = {"work is due": 1, "a request waits": 2, "a connection comes": 0}[moment]
+        for number in range(taken):
+            _, writer = await asyncio.open_connection(HOST, port)
+            writer.write(request(f"r{number}", "assign", "X-Lab-Work: 1"))
+            writers.append(writer)
+        while kinds(read(tmp_path / "n.jsonl"))["taken"] < taken:
+            await asyncio.sleep(0.001)
+        held = first.made.service.connection() if moment == "a connection comes" else None
+        if held is not None:  # it was accepted, and its transport comes up after the end
+            first.end()
+            transport = Transport()
+            held.connection_made(transport)
+            if not transport.aborted:
+                held.data_received(request("late"))
+        else:
+            assert (await ask(port, order(end=True))).code == 200
+        while not first.ledger.file.closed:
+            await asyncio.sleep(0.001)
+        before = (tmp_path / "n.jsonl").read_bytes()
+        assert (await ask(beside, request("b"))).body == b"m:b"
+        await asyncio.sleep(0.3)  # longer than the work that was in hand
+        for writer in writers:
+            writer.close()
+        other.end()
+        assert uncaught == []
+        assert (tmp_path / "n.jsonl").read_bytes() == before
+
+    run(play())
+    assert kinds(read(tmp_path / "m.jsonl")) == {"taken": 1, "began": 1, "ran": 1}
+
+
+class Transport(asyncio.Transport):
+    """Of a connection of which it is asked only whether it was broken off."""
+
+    def __init__(self):
+        super().__init__()
+        self.aborted = False
+
+    def abort(self):
+        self.aborted = True
+
+    def is_closing(self):
+        return self.aborted
+
+    def write(self, data):
+        pass
+
+
 def test_a_directory_lists_and_tells_changes_to_whoever_watches(tmp_path):
     def entry(name, status="SERVING"):
         return {"name": name, "address": f"{HOST}:1", "status": status}
