--- /dev/null
+++ b/benchmarks/start.py
@@ -0,0 +1,301 @@
+"""From start to the first "ready" at a share of a core, and what the processor time of a start goes into.
+
+    python benchmarks/start.py [--starts N] [--shares 1 1/2 ...] [--servers N] [--slice MS]
+
+A share is made by stopping and continuing the process by its own processor time, as the kernel counts it
+(/proc/PID/schedstat): after each slice it is held until what it used is that share of the time since the
+slice began, so that none is saved up. The sidecar is a copy as the build leaves it, with its bytecode; its
+directory is up, or nobody listens at its address. Starts come one after another. Prints one JSON object;
+how far it is goes to standard error. Exit code 1 if a start was not ready within LONGEST.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import ctypes
+import json
+import os
+import re
+import select
+import shutil
+import signal
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import threading
+from collections.abc import Iterator
+from dataclasses import dataclass
+from fractions import Fraction
+from pathlib import Path
+from time import perf_counter
+
+import uvloop
+from overhead import HOST, ROOT, config
+
+from ochreflow.lab.directory import Directory
+from ochreflow.lab.ledger import Ledger
+
+WANTED = (10.0, 6.0)  # seconds within which nine in ten starts are to be ready, the second on a short day
+LONGEST = 60.0  # seconds that a start may take here
+SHARES = "1 1/2 1/5 1/10 1/20 1/32"
+DOWN_AT = Fraction(1, 10)  # the share at which it is also measured without a directory
+READY = b"GET /-/ready HTTP/1.1\r\nHost: sidecar\r\n\r\n"
+LIBRARY = ctypes.CDLL(None)  # loaded here, so that a start does not pay for it
+DIE_WITH_PARENT = 1  # PR_SET_PDEATHSIG
+
+MARKS = """
+import time
+marks = [time.process_time()]
+def mark():
+    marks.append(time.process_time())
+from ochreflow.app import process
+mark()
+read, said = process.read_config, process.log.info
+def reads(path):
+    made = read(path)
+    mark()
+    return made
+def info(what, **fields):
+    said(what, **fields)
+    if what == "listening":
+        mark()
+        print(*marks, flush=True)
+        process.os.kill(process.os.getpid(), process.signal.SIGTERM)
+process.read_config, process.log.info = reads, info
+process.sys.exit(process.main())
+"""
+PARTS = ("interpreter", "imports", "configuration", "until it listens")
+
+
+class Discovery:
+    """The lab's directory in a thread, with so many servers, all at one socket that nobody reads."""
+
+    def __init__(self, servers: int, folder: Path) -> None:
+        self.nodes = socket.create_server((HOST, 0), backlog=512)
+        address = f"{HOST}:{self.nodes.getsockname()[1]}"
+        entry = {"address": address, "zone": "amman", "type": "gen3", "status": "SERVING", "weight": 1.0}
+        names = ({"name": f"node-{number}", "group": 1 + number // 4} for number in range(servers))
+        self.listed = [{**entry, "since_ms": 0, **name} for name in names]
+        self.ledger = Ledger(folder / "directory.jsonl")
+        self.address = ""
+        up = threading.Event()
+        threading.Thread(target=lambda: uvloop.run(self._serve(up)), daemon=True).start()
+        up.wait()
+
+    async def _serve(self, up: threading.Event) -> None:
+        loop = asyncio.get_running_loop()
+        self.directory = Directory(self.ledger, loop)
+        for entry in self.listed:
+            self.directory.put(entry)
+        server = await loop.create_server(self.directory.service.connection, HOST, 0)
+        self.address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+        up.set()
+        await asyncio.Event().wait()
+
+    @property
+    def told(self) -> bool:
+        """Whether a sidecar has its list, and waits for changes."""
+        return any(not watch.asked.gone for watch in list(self.directory.watches))
+
+
+def nobody() -> str:
+    """An address at which nobody listens."""
+    with socket.create_server((HOST, 0)) as sock:
+        return f"{HOST}:{sock.getsockname()[1]}"
+
+
+@contextlib.contextmanager
+def started(folder: Path, path: Path, *command: str, **pipes: int) -> Iterator[subprocess.Popen[bytes]]:
+    """A process of the sidecar's copy, which is gone at the end of this, whatever happens."""
+    process = subprocess.Popen(
+        [sys.executable, *command],
+        cwd=folder,
+        env={**os.environ, "GW_CONFIG": str(path)},
+        preexec_fn=lambda: LIBRARY.prctl(DIE_WITH_PARENT, signal.SIGKILL),
+        **pipes,
+    )
+    try:
+        yield process
+    finally:
+        process.kill()
+        process.communicate()
+
+
+@dataclass
+class Start:
+    real: float  # seconds from its start to its first "ready"
+    used: float  # of processor time in them
+    waited: float  # ... in which it could have run, and had no core
+    listed: float | None = None  # of processor time from then on, until it had the first list
+
+
+class Watched:
+    """A process that runs at a share of a core, until it is ready and beyond."""
+
+    def __init__(self, process: subprocess.Popen[bytes], share: Fraction, begun: float, part: float) -> None:
+        assert process.stderr is not None
+        self.process = process
+        self.share = float(share)
+        self.slice = part
+        self.log = process.stderr.fileno()
+        os.set_blocking(self.log, False)
+        self.text = b""
+        self.probe: socket.socket | None = None
+        self.ready_at = 0.0
+
+    def times(self) -> tuple[float, float]:
+        """Its processor time, and how long it waited for a core. It has one thread."""
+        used, waited, _ = Path(f"/proc/{self.process.pid}/schedstat").read_text().split()
+        return int(used) / 1e9, int(waited) / 1e9
+
+    def look(self, seconds: float) -> None:
+        """Take what it says for so long: where it listens, then whether it is ready."""
+        end = perf_counter() + seconds
+        while not self.ready_at and (left := end - perf_counter()) > 0.0:
+            files = [self.log] if self.probe is None else [self.log, self.probe]
+            got, _, _ = select.select(files, [], [], left)
+            if self.probe is not None and self.probe in got:
+                if not self.probe.recv(4096).startswith(b"HTTP/1.1 200"):
+                    raise SystemExit("its first answer was not that it is ready")
+                self.ready_at = perf_counter()
+                self.probe.close()
+            elif self.log in got:
+                self._read()
+        if (left := end - perf_counter()) > 0.0:
+            select.select([], [], [], left)
+
+    def _read(self) -> None:
+        said = os.read(self.log, 65536)
+        if not said:
+            raise SystemExit(f"it did not start: {self.text.decode()}")
+        self.text += said
+        if self.probe is None and (match := re.search(rb" listens at [\d.]+:(\d+)\n", self.text)):
+            self.probe = socket.create_connection((HOST, int(match[1])))
+            self.probe.sendall(READY)
+
+    def turn(self) -> None:
+        """Let it run for a slice, and hold it until that is no more than its share."""
+        begin, (before, _) = perf_counter(), self.times()
+        self.process.send_signal(signal.SIGCONT)
+        self.look(self.slice)
+        if self.share >= 1.0:
+            return
+        self.process.send_signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, self.process.pid, os.WSTOPPED | os.WEXITED | os.WNOWAIT)
+        self.hold(begin, self.times()[0] - before)
+
+    def hold(self, begin: float, used: float) -> None:
+        if (left := begin + used / self.share - perf_counter()) > 0.0:
+            self.look(left)
+
+
+def start(folder: Path, path: Path, share: Fraction, part: float, discovery: Discovery | None) -> Start:
+    begun = perf_counter()
+    with started(folder, path, "-m", "ochreflow", stderr=subprocess.PIPE) as process:
+        watched = Watched(process, share, begun, part)
+        if share < 1:  # what it ran already counts
+            process.send_signal(signal.SIGSTOP)
+            os.waitid(os.P_PID, process.pid, os.WSTOPPED | os.WEXITED | os.WNOWAIT)
+            watched.hold(begun, watched.times()[0])
+        while not watched.ready_at:
+            if perf_counter() - begun > LONGEST:
+                return Start(float("inf"), *watched.times())
+            watched.turn()
+        used, waited = watched.times()
+        made = Start(watched.ready_at - begun, used, waited)
+        while discovery is not None and not discovery.told:
+            if perf_counter() - begun > LONGEST:
+                return made
+            watched.turn()
+        if discovery is not None:
+            made.listed = watched.times()[0] - used
+    end = perf_counter() + LONGEST
+    while discovery is not None and discovery.told:  # or the next one's watch is taken for this one's
+        if perf_counter() > end:
+            raise SystemExit("the directory still holds the watch of a process that is gone")
+        select.select([], [], [], part)
+    return made
+
+
+def parts(folder: Path, path: Path) -> list[float]:
+    """Seconds of processor time that each of PARTS takes."""
+    with started(folder, path, "-c", MARKS, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL) as process:
+        out, _ = process.communicate(timeout=LONGEST)
+    marks = [float(mark) for mark in out.split()]
+    return [after - before for before, after in zip([0.0, *marks], marks, strict=False)]
+
+
+def spread(values: list[float], unit: float = 1.0, digits: int = 3) -> list[float]:
+    """The least, the median and the most."""
+    return [round(value * unit, digits) for value in (min(values), statistics.median(values), max(values))]
+
+
+def row(share: Fraction, up: bool, made: list[Start]) -> dict[str, object]:
+    listed = [one.listed for one in made if one.listed is not None]
+    return {
+        "share": str(share),
+        "directory": "up" if up else "down",
+        "starts": len(made),
+        **{f"ready within {most:g} s": sum(one.real <= most for one in made) for most in WANTED},
+        "real_s": spread([one.real for one in made]),
+        "processor_ms": spread([one.used for one in made], 1e3, 1),
+        "real_by_share_to_processor": spread([one.real * float(share) / one.used for one in made]),
+        "waited_for_a_core_ms": spread([one.waited for one in made], 1e3, 1),
+        **({"then_first_list_ms": spread(listed, 1e3, 1)} if listed else {}),
+    }
+
+
+def built(folder: Path) -> None:
+    """A copy of the program, with the bytecode that the build leaves."""
+    shutil.copytree(ROOT / "ochreflow", folder / "ochreflow", ignore=shutil.ignore_patterns("__pycache__"))
+    subprocess.run([sys.executable, "-m", "compileall", "-q", "ochreflow"], cwd=folder, check=True)
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--starts", type=int, default=5, help="of each kind")
+    parser.add_argument(
+        "--shares", type=Fraction, nargs="+", default=[Fraction(one) for one in SHARES.split()]
+    )
+    parser.add_argument("--servers", type=int, default=200)
+    parser.add_argument("--slice", type=float, default=2.0, help="milliseconds that it runs at a time")
+    given = parser.parse_args()
+    if given.starts < 1 or not all(0 < share <= 1 for share in given.shares):
+        parser.error("there is at least one start, and a share is above 0 and at most 1")
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    rows = []
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = Path(temporary)
+        built(folder)
+        discovery = Discovery(given.servers, folder)
+        paths = {up: folder / f"config-{'up' if up else 'down'}.json" for up in (True, False)}
+        for up, path in paths.items():
+            path.write_text(json.dumps(config(discovery.address if up else nobody(), discovery.listed)))
+        parts(folder, paths[True])  # the first start after the copy is not like the others
+        gone_into = [parts(folder, paths[True]) for _ in range(given.starts)]
+        for share in given.shares:
+            for up in (True, False) if share == DOWN_AT else (True,):
+                made = []
+                for number in range(given.starts):
+                    made.append(start(folder, paths[up], share, given.slice / 1e3, discovery if up else None))
+                    head = f"share {share}, directory {'up' if up else 'down'}, {number + 1}/{given.starts}"
+                    print(f"{head}: ready after {made[-1].real:.3f} s", file=sys.stderr, flush=True)
+                rows.append((share, up, made))
+    names = zip(PARTS, zip(*gone_into, strict=True), strict=True)
+    result = {
+        "of": "least, median, most",
+        "starts": [row(*one) for one in rows],
+        "parts_ms": {name: spread(list(values), 1e3, 1) for name, values in names},
+    }
+    print(
+        re.sub(r"\[\s+([\d.]+),\s+([\d.]+),\s+([\d.]+)\s+\]", r"[\1, \2, \3]", json.dumps(result, indent=1))
+    )
+    return int(any(one.real > LONGEST for _, _, made in rows for one in made))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
