Count descriptors by the system's limit as it is now, and cut idle clients down to it

The count was taken from the system's limit at the start only. A new client takes one other's place, so clients over their share stay over it.

Now each look after the clients (10 a second) reads the limit, and where the count has become smaller, clients that wait for nothing go until the rest is within the share, 32 at a look at most; whoever is owed an answer stays. With the gate its own rule says who goes.

Tests: the limit lowered in a play (timed out without the change: no client goes), and the cut by itself, with and without a gate. `test_a_sidecar_full_of_idle_clients_rests[no-descriptor-left]` made its lack of descriptors by lowering the limit, which the program now follows; its process now has the descriptors from 71 on held from the start, of which the program knows nothing, so that there is a lack as before, and the test asserts that clients are fewer than their share.

Not mended: a limit that is raised again is not followed.

--- a/ochreflow/app/sidecar.py
+++ b/ochreflow/app/sidecar.py
@@ -38,8 +38,8 @@
         known: News | None = None,
     ) -> None:
         usage = usage or Usage(Descriptors(config.sockets), Memory(config.memory))
-        if (most := system_limit()) is not None:
-            usage.descriptors.cap(most)
+        usage.descriptors.system_limit = system_limit
+        usage.descriptors.look()
         settings, known = config.settings, known or config.known
         self.names = config.names
         self.engine = Engine(loop, settings, config.transport.max_open, config.seed, usage, config.names)
--- a/ochreflow/core/limits.py
+++ b/ochreflow/core/limits.py
@@ -25,6 +25,7 @@
         self.others_held = 0
         self.others_connected = 0
         self.waiting: list[Callable[[], bool]] = []  # each lets a connection go that waits, if it has one
+        self.system_limit: Callable[[], int | None] = lambda: None  # what the system gives at present
 
     def make_room(self) -> bool:
         """Have a waiting connection go: it gives way before anything that is owed an answer does."""
@@ -38,6 +39,11 @@
         """
         self.total = min(self.total, most)
 
+    def look(self) -> None:
+        """Count by the system's limit as it is now: it may be lowered while the process runs."""
+        if (most := self.system_limit()) is not None:
+            self.cap(most)
+
     @property
     def limit(self) -> int:
         """What all processes together may hold."""
--- a/ochreflow/http/clients.py
+++ b/ochreflow/http/clients.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from itertools import takewhile
+from itertools import chain, islice, takewhile
 from time import monotonic
 from typing import Any, Protocol
 
@@ -17,6 +17,7 @@
 SLOW_READER = 5.0  # seconds in which a client may take nothing of an answer
 FEW = 0.25  # of the clients' share: when more than that have sent nothing, it is no burst of the usual ones
 STALE = 0.5  # seconds without a byte, with a message owed: slow clients write a piece more often
+CUT_MOST = 32  # clients that go at one look for a share that has become smaller: its turn must not be long
 YOUNG = 0.02  # seconds in which a new connection's first request may well be on its way
 
 
@@ -89,6 +90,7 @@
 
     def __init__(self, descriptors: Descriptors) -> None:
         self.descriptors = descriptors
+        self.total = descriptors.total  # as the clients were last cut down to their share of it
         self.times = Times()
         self.gate: Gate | None = None
         self.all: dict[Client, None] = {}
@@ -199,17 +201,39 @@
 
         Guards what was taken against a lack of descriptors: its attempts need some, and so do answers.
         """
-        could = [one for one in self.idle if one.quiet]
-        could += [one for one in self.heard if not one.serving]
-        if not could:
-            return False
-        going = could[0] if self.gate is None else self.gate.first_to_go(monotonic(), could)
-        self._forget(going)
-        going.close()
-        return True
+        return self._let_go(1) > 0
+
+    def _let_go(self, most: int) -> int:
+        """Close up to so many that wait for nothing; how many they were."""
+        quiet = (one for one in self.idle if one.quiet)
+        could = chain(quiet, (one for one in self.heard if not one.serving))
+        if self.gate is None:
+            going = list(islice(could, most))
+        else:
+            left, going = dict.fromkeys(could), []
+            while left and len(going) < most:
+                going.append(self.gate.first_to_go(monotonic(), left))
+                del left[going[-1]]
+        for one in going:
+            self._forget(one)
+            one.close()
+        return len(going)
+
+    def _keep_to_share(self) -> None:
+        """Cut down to a share that has become smaller, as soon as enough of them wait for nothing.
+
+        Guards operators, discovery and requests: a new connection takes the place of one client, so clients
+        that are over their share stay over it, and with no descriptor left every new connection is ended.
+        """
+        self.descriptors.look()
+        if self.descriptors.total < self.total:
+            self._let_go(min(max(len(self.all) - self.descriptors.clients, 0), CUT_MOST))
+            if len(self.all) <= self.descriptors.clients:
+                self.total = self.descriptors.total
 
     def sweep(self) -> None:
         """Guards descriptors and memory against clients that never end a message or never come back."""
+        self._keep_to_share()
         now = monotonic()
         for client in _since(self.waited, now - self.times.head):
             came = client.came_since_look()
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -35,8 +35,11 @@
 
 from ochreflow.app.sidecar import system_limit
 from ochreflow.core.limits import Descriptors
+from ochreflow.http.clients import CUT_MOST, Clients
 
 LEAST = 256  # descriptors of the least configuration
+LEFT = 71  # descriptors that are left to a process of which others hold the rest: half a share and its own
+LOWERED = 100  # the limit that is set while clients hold their share of that
 CROWD = 300  # idle clients: more than those descriptors
 BACK = 0.5  # seconds after which an idle client that was ended comes again
 GRACE = 0.5  # seconds, as `config` says it
@@ -271,7 +274,7 @@
 def free(process, limit):
     """The descriptors that it may still take: the system's limit is on their numbers.
 
-    One that it was started with may lie beyond a limit that was lowered since, so their count tells nothing.
+    One of before may lie beyond a limit that was lowered since, so their count tells nothing.
     """
     return set(range(limit)) - numbers(process)
 
@@ -444,6 +447,15 @@
     run(play())
 
 
+class Burdened(Process):
+    """A process whose descriptors from `LEFT` on are held from the start, by what it does not know of."""
+
+    def _limit(self):
+        super()._limit()
+        for number in range(LEFT, self.descriptors):
+            os.dup2(0, number)
+
+
 @pytest.mark.parametrize("short", [False, True], ids=["by-count", "no-descriptor-left"])
 def test_a_sidecar_full_of_idle_clients_rests(tmp_path, short):
     """Nobody comes again and nobody is ended, discovery up or down; then with no descriptor at accept."""
@@ -451,18 +463,17 @@
     async def play():
         (tmp_path / "o.toml").write_text(CALM)
         stage = await Stage().start()
-        process = Process(tmp_path / "c", stage.config(LEAST), descriptors=LEAST)
+        # With what is held already, clients may hold more by the count than there is.
+        kind = Burdened if short else Process
+        process = kind(tmp_path / "c", stage.config(LEAST), descriptors=LEAST)
         process.arguments = ["--config", str(tmp_path / "o.toml")]
         async with process:
             await until(lambda: stage.discovery.fake.got)
             empty = await used(process)
             share = Descriptors(LEAST).clients
-            limit = held(process) + share // 2
-            if short:  # clients may hold more by the count than there is
-                resource.prlimit(pid_of(process), resource.RLIMIT_NOFILE, (limit, limit))
 
             def is_full():
-                is_most = not free(process, limit) if short else len(crowd.here) == share
+                is_most = not free(process, LEAST) if short else len(crowd.here) == share
                 return is_most and crowd.is_taken_in(process)
 
             def of_discovery():
@@ -472,6 +483,7 @@
             async with Crowd(process.port, again=False) as crowd:
                 await until(is_full)
                 clients = set(crowd.here)
+                assert not short or len(clients) < share
                 full = await used(process)
                 await until(of_discovery)
                 calling = of_discovery()
@@ -481,7 +493,7 @@
                 down = await used(process)
                 assert set(crowd.here) == clients and crowd.came == CROWD
                 # What its calls held is all that may be free: they are made again, and nobody else comes.
-                assert not short or free(process, limit) <= calling
+                assert not short or free(process, LEAST) <= calling
                 assert max(full, down) < empty + REST, (empty, full, down)
             asking = Asking(process.port)
             await asking.go_on(20)
@@ -490,6 +502,99 @@
     run(play())
 
 
+def test_a_limit_lowered_under_idle_clients_leaves_what_operators_and_requests_need(tmp_path):
+    """Clients with their share of the old limit held all of the new one: all others were ended at accept.
+
+    What is owed an answer does not give way.
+    """
+
+    async def play():
+        (tmp_path / "o.toml").write_text(CALM)
+        stage = await Stage().start()
+        process = Process(tmp_path / "c", stage.config(LEAST), descriptors=LEAST)
+        process.arguments = ["--config", str(tmp_path / "o.toml")]
+
+        def taken_in():
+            return sum(own == process.port for own, _ in connections(process).values())
+
+        async with process:
+            await until(lambda: stage.discovery.fake.got)
+            async with Crowd(process.port):
+                stage.stays.takes = stage.drains.takes = 2.0
+                owed = asyncio.create_task(ask(process.port, message("order", "f" * 16, "30000m")))
+                await until(lambda: stage.stays.came or stage.drains.came)
+                stage.stays.takes, stage.drains.takes = 0.02, 0.0
+                await until(lambda: taken_in() >= Descriptors(LEAST).clients)
+                assert held(process) > LOWERED
+                resource.prlimit(pid_of(process), resource.RLIMIT_NOFILE, (LOWERED, LOWERED))
+                await until(lambda: taken_in() <= Descriptors(LOWERED).clients, "clients keep what they had")
+                async with Peak(process) as peak:
+                    assert await operators_heard(process)
+                    asking = Asking(process.port)
+                    await asking.go_on(20)
+                    stage.discovery.down()
+                    await process.heard(b"discovery failed")
+                    back = await stage.drain_unseen_and_come_back(process)
+                    assert await stage.drain_kept(back, asking)
+                    assert await operators_heard(process)
+                    await asking.end()
+                assert peak.most < LOWERED
+                assert (await owed).code == 200
+
+    run(play())
+
+
+class Silent:
+    """A client's connection without a socket, which has said nothing."""
+
+    begun = head_ended = asked = paused = idle = quiet = False
+    size, host = 0, HOST
+
+    def __init__(self, clients, serving):
+        self.clients = clients
+        self.serving = serving
+
+    def close(self):
+        self.clients.remove(self)
+
+
+class LatestFirst:
+    """A gate that lets all in, and by whose rule the latest goes."""
+
+    def open(self, *_):
+        return None
+
+    def close(self, _):
+        pass
+
+    def first_to_go(self, _, keys):
+        return list(keys)[-1]
+
+
+@pytest.mark.parametrize("gate", [None, LatestFirst()], ids=["no-gate", "gate"])
+def test_clients_are_cut_down_to_a_smaller_share_in_steps_and_none_that_is_served(gate):
+    clients = Clients(Descriptors(LEAST))
+    clients.gate = gate
+    come = [Silent(clients, serving=number % 10 == 0) for number in range(clients.descriptors.clients)]
+    for one in come:
+        clients.add(one)
+    clients.sweep()
+    assert list(clients.all) == come
+    clients.descriptors.system_limit = lambda: LOWERED
+    clients.sweep()
+    assert len(clients.all) == len(come) - CUT_MOST
+    for _ in range(len(come) // CUT_MOST):
+        clients.sweep()
+    share = Descriptors(LOWERED).clients
+    served, silent = ([one for one in come if one.serving is serving] for serving in (True, False))
+    left = share - len(served)
+    assert set(clients.all) == {*served, *(silent[:left] if gate else silent[-left:])}
+    for one in served:
+        one.serving = False
+    clients.sweep()
+    assert len(clients.all) == clients.descriptors.connected == share
+
+
 def test_the_count_goes_by_what_the_system_gives(monkeypatch):
     descriptors = Descriptors(1024)
     descriptors.cap(LEAST)
