Measure the pace among unequal servers too: two kinds, and a cell that is held down

Need: the pace goes by what others carry, and the table of docs/design/pace.md knew servers of one strength only.

--- a/ochreflow/cli/main.py
+++ b/ochreflow/cli/main.py
@@ -254,15 +254,20 @@
 @click.option("--seeds", type=click.IntRange(1, 1000), default=20, show_default=True, help="Runs of each.")
 @click.option("--jobs", type=click.IntRange(1, 64), default=1, show_default=True, help="Runs at a time.")
 @click.option("--slow", is_flag=True, help="Cold servers work at their ramp's speed, not sooner.")
+@click.option(
+    "--unequal", is_flag=True, help="Two kinds of servers, and a cell held down, as the list tells."
+)
 @click.option("--program", type=click.Path(path_type=Path), help="Another checkout, whose module is played.")
-def lab_pace(fleets: tuple[str, ...], seeds: int, jobs: int, slow: bool, program: Path | None) -> int:
+def lab_pace(
+    fleets: tuple[str, ...], seeds: int, jobs: int, slow: bool, unequal: bool, program: Path | None
+) -> int:
     """Measure, in simulated time, what all sidecars together send to cold servers against what one bears."""
     from ..rehearsal.pace import FLEETS, run
 
     known = [f"{sidecars}/{servers}" for sidecars, servers in FLEETS]
     if unknown := [name for name in fleets if name not in known]:
         raise click.UsageError(f"{unknown[0]}: no such fleet; there are {', '.join(known)}")
-    return run(list(fleets), slow, seeds, jobs, program)
+    return run(list(fleets), slow, unequal, seeds, jobs, program)
 
 
 @lab.command(epilog=_example("ochreflow lab fault --to 127.0.0.1:7070 --script faults.toml --seed 7"))
--- a/ochreflow/rehearsal/pace.py
+++ b/ochreflow/rehearsal/pace.py
@@ -19,7 +19,7 @@
 from .build import Policy, load
 from .clock import SECOND, Clock
 
-CAPACITY = 20.0  # requests a second of a warm server
+CAPACITY = 20.0  # requests a second of a warm server, in the mean of the fleet
 WORK = 0.02  # seconds that one takes at full speed, in the mean
 LOAD = 0.65  # of the fleet's capacity is asked of it
 THROTTLED_EVERY = 0.1  # seconds in which a server may use up its share at full speed
@@ -31,6 +31,8 @@
 BEFORE = 6.0  # seconds in which the sidecars come to know a warm fleet
 AFTER = 16.0  # seconds that are judged
 TOLD_WITHIN = 2.0  # seconds after the start in which each sidecar hears of it
+STRENGTHS = (0.8, 1.6)  # of the mean, by kind, where servers are unequal
+CELLS, HELD_DOWN = 3, 0.5  # the first of so many cells does so much of what its kinds do, there
 UNEVEN = 0.3  # of the mean is asked of each sidecar at the least; the rest is spread exponentially
 
 FLEETS = ((5, 10), (20, 20), (30, 10), (30, 60), (200, 200))  # sidecars, servers
@@ -70,6 +72,7 @@
 class Server:
     started: float | None = None  # seconds; None: warm since long ago
     slow: bool = False  # it works at its ramp's speed, else as a warm one
+    capacity: float = CAPACITY  # requests a second, when warm
     gone: bool = False
     free_at: float = 0.0  # when what it has taken is within its share
     sends: list[float] = field(default_factory=list)  # their times since its start
@@ -80,7 +83,7 @@
         speed = 1.0 if self.started is None or not self.slow else ramp(now - self.started)
         if self.free_at > now + QUEUE:
             return None
-        self.free_at = max(self.free_at, now - THROTTLED_EVERY) + work / (CAPACITY * WORK * speed)
+        self.free_at = max(self.free_at, now - THROTTLED_EVERY) + work / (self.capacity * WORK * speed)
         return max(work / speed, self.free_at - now)
 
 
@@ -165,14 +168,24 @@
     """One run: a warm fleet, of which a part is replaced by cold servers."""
 
     def __init__(
-        self, sidecars: int, servers: int, part: float, slow: bool, seed: int, policy: Policy
+        self,
+        sidecars: int,
+        servers: int,
+        part: float,
+        seed: int,
+        policy: Policy,
+        *,
+        slow: bool,
+        unequal: bool,
     ) -> None:
         self.policy = policy
         self.slow = slow
+        self.unequal = unequal
         self.clock = Clock()
         self.random = random.Random(f"{sidecars} {servers} {part} {seed}")
         self.sidecars = sidecars
-        self.servers = {number: Server() for number in range(servers)}
+        self.count = servers
+        self.servers = {number: Server(capacity=self.capacity(number)) for number in range(servers)}
         self.cold = range(max(1, round(part * servers)))
         self.asked = self.served = 0
         api = policy.interface
@@ -181,14 +194,26 @@
         for number, share in enumerate(shares):
             sidecar = Sidecar(self, number, self.random.getrandbits(32))
             sidecar.post(api.Membership(api.ListKind.CACHED, 1, whole))
-            rate = LOAD * CAPACITY * servers * share / sum(shares)
+            rate = LOAD * sum(map(self.capacity, range(servers))) * share / sum(shares)
             self.clock.after(self.random.expovariate(rate), self.arrive, sidecar, rate)
             self.clock.after(BEFORE + self.random.uniform(0.0, TOLD_WITHIN), self.tell, sidecar)
         self.clock.after(BEFORE, self.replace)
         self.clock.run(self.clock.now + int((BEFORE + AFTER) * SECOND))
 
+    def alike(self, number: int) -> tuple[int, int]:
+        """Kind and cell of a server; one that takes another's place is like that one."""
+        place = number % self.count
+        return (place % len(STRENGTHS), place % CELLS) if self.unequal else (0, 0)
+
+    def capacity(self, number: int) -> float:
+        kind, cell = self.alike(number)
+        if not self.unequal:
+            return CAPACITY
+        return CAPACITY * STRENGTHS[kind] * (HELD_DOWN if cell == 0 else 1.0)
+
     def entry(self, number: int, state: Any, started_ns: int = 0) -> Any:
-        return self.policy.interface.Endpoint(number, 0, 0, 0, state, 1.0, started_ns)
+        kind, cell = self.alike(number)
+        return self.policy.interface.Endpoint(number, 0, kind, cell, state, 1.0, started_ns)
 
     def arrive(self, sidecar: Sidecar, rate: float) -> None:
         self.clock.after(self.random.expovariate(rate), self.arrive, sidecar, rate)
@@ -199,7 +224,9 @@
         self.first = len(self.servers)
         for number in self.cold:
             self.servers[number].gone = True
-            self.servers[self.first + number] = Server(self.clock.seconds, self.slow)
+            self.servers[self.first + number] = Server(
+                self.clock.seconds, self.slow, capacity=self.capacity(number)
+            )
 
     def tell(self, sidecar: Sidecar) -> None:
         state = self.policy.interface.State
@@ -209,14 +236,18 @@
 
     def figures(self) -> Figures:
         cold = [self.servers[self.first + number] for number in self.cold]
-        windows = [(*window, number) for number, server in enumerate(cold) for window in worst(server.sends)]
+        windows = [
+            (*window, number)
+            for number, server in enumerate(cold)
+            for window in worst(server.sends, server.capacity)
+        ]
         slack, sends, budget, _ = max(windows, default=(-1.0, 0, 0.0, 0))
-        answered = sum(server.answered for server in cold) / (CAPACITY * len(cold))
+        answered = sum(server.answered for server in cold) / sum(server.capacity for server in cold)
         return Figures(
             slack,
             sends,
             budget,
-            max((present(server.sends) for server in cold), default=-1.0),
+            max((present(server.sends, server.capacity) for server in cold), default=-1.0),
             answered / AFTER,
             answered / ramped(AFTER),
             self.served / self.asked,
@@ -228,22 +259,22 @@
     return (sends - budget) / (2.0 * budget**0.5 + 2.0)
 
 
-def worst(sends: list[float]) -> list[tuple[float, int, float]]:
+def worst(sends: list[float], capacity: float = CAPACITY) -> list[tuple[float, int, float]]:
     """Slack, sends and N of the worst window that ends while a server is cold, from its start at most."""
     found = []
     for number, at in enumerate(sends):
         if at < WARM_WITHIN:
             count = number + 1 - bisect_right(sends, at - FOR)
-            budget = FACTOR * CAPACITY * (ramped(at) - ramped(at - FOR))
+            budget = FACTOR * capacity * (ramped(at) - ramped(at - FOR))
             found.append((over(count, budget), count, budget))
     return [max(found)] if found else []
 
 
-def present(sends: list[float]) -> float:
+def present(sends: list[float], capacity: float = CAPACITY) -> float:
     """The worst window by the page's own words: N is of the capacity at its end, over its whole length."""
     return max(
         (
-            over(number + 1 - bisect_right(sends, at - FOR), FACTOR * CAPACITY * ramp(at) * FOR)
+            over(number + 1 - bisect_right(sends, at - FOR), FACTOR * capacity * ramp(at) * FOR)
             for number, at in enumerate(sends)
             if at < WARM_WITHIN
         ),
@@ -252,9 +283,15 @@
 
 
 def play(
-    sidecars: int, servers: int, part: float, slow: bool, seed: int, program: Path | None = None
+    sidecars: int,
+    servers: int,
+    part: float,
+    slow: bool,
+    seed: int,
+    program: Path | None = None,
+    unequal: bool = False,
 ) -> Figures:
-    return FleetRun(sidecars, servers, part, slow, seed, load(program)).figures()
+    return FleetRun(sidecars, servers, part, seed, load(program), slow=slow, unequal=unequal).figures()
 
 
 def line(sidecars: int, servers: int, cold: str, found: list[Figures]) -> str:
@@ -273,6 +310,7 @@
 def run(
     fleets: list[str],
     slow: bool,
+    unequal: bool,
     seeds: int,
     jobs: int,
     program: Path | None,
@@ -285,7 +323,10 @@
             (
                 fleet,
                 cold,
-                [pool.submit(play, *fleet, part, slow, seed, program) for seed in range(1, seeds + 1)],
+                [
+                    pool.submit(play, *fleet, part, slow, seed, program, unequal)
+                    for seed in range(1, seeds + 1)
+                ],
             )
             for fleet in FLEETS
             for cold, part in PARTS.items()
