Scale the pace to a cold server by those sampled on its side of a crossing, not of all

Cause: `Pace.allows` (pace.py, 85-86) multiplied the pace by ready servers over those sampled, of both sides together, since others do not sample this server. But as many are sampled near as far, and the usual load has been counted by side since the pace goes by warm servers: the fewer servers a side has, the more of them each sidecar samples, and the less is to be made up for.

Change: the factor is the one that the list keeps for each side (`Fleet.stands_for`); at least 1, as a side whose servers are all avoided has none sampled.

Where there is one side only, the factor is what it was. Two tests: the first fails without the change, the second without the least of 1.

--- a/ochreflow/policy/pace.py
+++ b/ochreflow/policy/pace.py
@@ -83,7 +83,7 @@
         alone = PACE_ALONE * SECOND / (self.latency.mean_usual() * self.ctx.settings.fleet_size)
         pace = ramp * max(PACE * self.ctx.settings.overload_factor * self.usual_load(server), alone)
         if self.fleet.rest and server not in self.fleet.rest:  # others' part is left to those who sample it
-            pace *= self.fleet.ready_count / max(self.fleet.ready_count - len(self.fleet.rest), 1)
+            pace *= max(self.fleet.stands_for[server.zone != self.ctx.settings.zone], 1.0)
         limit = max(1.0, pace * PACE_BURST)
         earned = pace * (self.ctx.now - (server.cold_at or server.told)) / SECOND
         server.cold_tokens, server.cold_at = min(limit, server.cold_tokens + earned), self.ctx.now
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -141,6 +141,41 @@
     assert 0.65 * budget < sent < 0.85 * budget
 
 
+def test_others_part_is_left_to_those_who_sample_it_on_its_side_of_a_crossing():
+    """Half of the near ones are sampled, of the far one in 48: near ones were sent twelve times as much."""
+    sent, budget = 0, 0.0
+    entries = [endpoint(number, zone=int(number >= 4)) for number in range(100)]
+    for seed in range(40):
+        balancer, now = began(entries, seed=seed, fleet_size=200, overload_factor=2.5)
+        now = carry(balancer, now, dict.fromkeys(range(4), 2))
+        balancer.handle(now, Membership(ListKind.DELTA, 2, [endpoint(0, started=now)]))
+        server, pace = balancer.fleet.servers[0], balancer.pace
+        if server in balancer.fleet.rest:
+            continue
+        for tick in range(500):
+            balancer.ctx.now = now + tick * 10 * MS
+            budget += 2 * 2.5 * 2 * pace.ramp(server) / 100
+            if pace.allows(server, 0, False):
+                pace.allows(server, 0, True)
+                sent += 1
+    assert budget > 150
+    assert 0.65 * budget < sent < 0.85 * budget
+
+
+def test_a_cold_server_keeps_a_pace_while_all_of_its_side_are_avoided():
+    entries = [endpoint(number, zone=int(number >= 1)) for number in range(100)]
+    balancer, now = began(entries, fleet_size=200)
+    server = restarted(balancer, now)
+    server.ejected = True
+    balancer.fleet.servers[0].ejected = True
+    balancer.fleet.regroup()
+    assert not balancer.fleet.near and balancer.fleet.rest
+    balancer.ctx.now = now + 9 * SECOND
+    balancer.pace.allows(server, 0, False)
+    balancer.ctx.now += SECOND // 2
+    assert balancer.pace.allows(server, 0, False)
+
+
 def test_a_cold_server_that_turns_away_gets_nothing_until_more_is_earned():
     balancer, now = began([endpoint(1), endpoint(2)])
     now = carry(balancer, now, {1: 10, 2: 10})
