Count answers over the shortest deadline where overload need last no time

Cause: `Latencies.count_answer` (latency.py, 36-37) divides by `rules.overload-for-ns`. With 0, which the settings take, each answer was a fault of the module: the rate of answers stayed at none, and what followed in that event (the estimates of its server and its readmission) was lost.

Change: the shortest deadline stands in for a span of 0.

--- a/ochreflow/policy/latency.py
+++ b/ochreflow/policy/latency.py
@@ -33,7 +33,7 @@
         self.base[cls] += CLASS_SMOOTHING * max(0.0, took - self.base[cls])
 
     def count_answer(self) -> None:
-        tau = self.ctx.settings.overload_for_ns
+        tau = self.ctx.settings.overload_for_ns or self.ctx.shortest
         self.rate = self.rate * max(0.0, 1.0 - (self.ctx.now - self.rate_at) / tau) + SECOND / tau
         self.rate_at = self.ctx.now
 
