Hold a cell against its side as it was while the cell had a warm server, not as it is now

Cause: `Pace.usual_load` (pace.py, 53-57) took off what a cell carries less than its side. A cell without a warm server is remembered, but its side goes on: the more the servers that were left had to carry, the more that cell seemed held down, and the less its cold servers were allowed.

Change: each look notes what part of its side's usual load a group has; that part is what is remembered. The side comes first in `groups`, so that it is up to date by then.

Measured: five servers that carry 10 a second each, one in a cell of its own, four of another kind in a cell that starts anew as a whole; while the one carries 50, the usual load of the four was taken for 3.2 and is 10 now. The new test fails without the change.

--- a/ochreflow/policy/pace.py
+++ b/ochreflow/policy/pace.py
@@ -16,10 +16,9 @@
 
 class Pace:
     def __init__(self, ctx: Context, latency: Latencies, fleet: Fleet) -> None:
-        self.ctx = ctx
-        self.latency = latency
-        self.fleet = fleet
+        self.ctx, self.latency, self.fleet = ctx, latency, fleet
         self.usual: dict[Any, float] = {}  # own work a second for each warm server alike, over a warm-up
+        self.held: dict[Any, float] = {}  # part of its side's, as one alike was last warm; at most 1
         self.tallied = 0
 
     def earn(self, server: Server, cls: int) -> None:
@@ -43,18 +42,19 @@
             load = sum(each) / len(each) * SECOND / passed
             known = self.usual.get(group, load)
             self.usual[group] = known + min(passed / span, 1.0) * (load - known)
+            self.held[group] = min((self.usual[group] + 1e-9) / (self.usual[group[:1]] + 1e-9), 1.0)
         self.tallied = self.ctx.now
 
     def groups(self, server: Server) -> tuple[Any, ...]:
-        """Those that the list describes like it: of its kind, of its cell, of its side of a crossing."""
+        """Those that the list describes like it: of its side of a crossing, and there its kind, its cell."""
         far = server.zone != self.ctx.settings.zone
-        return (far, "kind", server.kind), (far, "cell", server.cell), far
+        return (far,), (far, "kind", server.kind), (far, "cell", server.cell)
 
     def usual_load(self, server: Server) -> float:
         """What others of its kind carry, less where its cell is held down; by the least known, if none."""
-        kind, cell, side = self.groups(server)
+        side, kind, cell = self.groups(server)
         load = self.usual.get(side, min(self.usual.values(), default=0.0))
-        return self.usual.get(kind, load) * min(self.usual.get(cell, load) / max(load, 1e-9), 1.0)
+        return self.usual.get(kind, load) * self.held.get(cell, 1.0)
 
     def lose(self, server: Server) -> None:
         """What it turns away pushes it over too."""
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -124,6 +124,20 @@
     assert loads == pytest.approx([7.5, 5.0, 15.0, 10.0], rel=0.05)
 
 
+def test_a_cell_without_a_warm_server_is_not_held_down_by_what_others_carry_for_it():
+    """The more the one that was left carried, the less the cold ones got: 3.2 in place of the usual 10."""
+    entries = [endpoint(number, cell=int(number > 1)) for number in range(1, 6)]
+    for entry in entries:
+        entry.kind = entry.cell
+    balancer, now = began(entries)
+    now = carry(balancer, now, dict.fromkeys(range(1, 6), 10))
+    for entry in entries[1:]:
+        entry.started_ns = now
+    balancer.handle(now, Membership(ListKind.DELTA, 2, entries[1:]))
+    carry(balancer, now, {1: 50, 2: 1}, 8)
+    assert balancer.pace.usual_load(balancer.fleet.servers[2]) == pytest.approx(10.0, rel=0.05)
+
+
 def test_a_cold_server_gets_a_part_of_what_would_push_it_over_if_the_usual_load_were_all_it_can_do():
     """In the mean: whole requests come by chance."""
     sent, budget = 0, 0.0
