Let go of a connection whose attempt ends in the turn in which it was begun

Cause: `Upstreams._open` made the connecting task and `Exchange.give_up` cancelled it. A task that is cancelled before its first turn runs nothing of its coroutine, so the clean-up in `_connect` (lines 700 to 705) never came: the socket stayed open, it counted in `Descriptors.held` for good, and its exchange stayed in `Target.opening`. It takes one turn that brings a request with no idle connection for it and then, say, the news that its server drains (`Upstreams.update` gives up all that wait there).

Change: the task can be cancelled from its own first turn on, and looks then whether its exchange has ended; no connect is tried for one that has.

--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -689,11 +689,15 @@
         self.connections.add(connection)
         self.descriptors.held += 1
         target.opening[exchange] = None
-        exchange.opening = self.loop.create_task(self._connect(target, exchange, connection))
+        # Not to be cancelled before its first turn: nothing of it would run, nor let the connection go.
+        self.loop.create_task(self._connect(target, exchange, connection))
 
     async def _connect(self, target: Target, exchange: Exchange, connection: Connection) -> None:
         sock = connection.sock
+        exchange.opening = asyncio.current_task()
         try:
+            if exchange.ended:
+                raise ConnectionAbortedError
             async with asyncio.timeout(self.connect_timeout):
                 await self.loop.sock_connect(sock, target.address)
         except (OSError, asyncio.CancelledError):
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -237,6 +237,31 @@
     run(play())
 
 
+@pytest.mark.parametrize("how", ["given up", "drain"])
+def test_one_that_ends_in_the_turn_of_its_start_leaves_no_connection(how):
+    """As where one turn brings a request, and then the news that its server drains."""
+
+    async def play():
+        server = listener()
+        pool = make(server.getsockname())
+        exchange, end = start(pool)
+        if how == "drain":
+            pool.update(1, server.getsockname(), 0, State.DRAINING)
+        else:
+            exchange.give_up(Status.CANCELLED)
+        assert (await end)[0] is Status.CONNECT_FAILED
+        assert pool.descriptors.held == 1
+        await until(lambda: not pool.descriptors.held, "its descriptor is counted back")
+        assert not pool.connections and not pool.targets[1].opening
+        server.setblocking(False)
+        with pytest.raises(BlockingIOError):
+            server.accept()  # no connect is tried for it
+        server.close()
+        pool.close()
+
+    run(play())
+
+
 def test_an_endless_answer_is_cut_off():
     async def play():
         async def act(message, reader, writer):
