Keep an attempt that was barred from beginning on the next connection that comes free

Cause: `Upstreams.keep` and `start` end a barred exchange as MOOT by `call_soon`, and until then it stood in `Target.opening` like any other (`keep`, the loop over `opening`; `_connect`, where its own connection comes up). Judged anew there and allowed, as after a fault of the module at its first byte, it was written, and then told as one that never ran: the module sent an order again that its server had.

Change: `Upstreams._put` marks what it has barred, and bars it again without asking.

--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -87,6 +87,7 @@
 
     __slots__ = (
         "answer_most",
+        "barred",
         "body",
         "connection",
         "done",
@@ -121,6 +122,7 @@
         self.relay = relay  # for an answer that is not held; None: every answer is
         self.within = within  # asked as its first byte is to go out: see `Watcher.write_within`
         self.generation = 0  # of its server when it was started
+        self.barred = False  # it was found that it must not begin any more, and its end is on the way
         self.late: asyncio.TimerHandle | None = None  # rings when its last byte must have gone out
         self.paused = False  # the relay takes no more at present
         self.connection: Connection | None = None  # once the first byte has gone out
@@ -664,8 +666,10 @@
         """
         target = connection.target
         current = target.takes_new and exchange.generation == connection.generation == target.generation
+        current = current and not exchange.barred  # its end will say that it never ran: that must stay true
         within = exchange.within() if exchange.within is not None and current else math.inf
         if not current or within <= 0.0:
+            exchange.barred = True
             return Put.BARRED
         if not connection.send(exchange):
             return Put.DEAD
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -317,6 +317,47 @@
     run(play())
 
 
+def test_an_attempt_that_was_barred_does_not_begin_on_the_next_connection_that_comes_free(tmp_path):
+    """Two connections come free in one turn: the module fails at the first one, and would allow the second.
+
+    Ended as one that never began it would be sent again, and its server would do the same order twice.
+    """
+
+    async def play():
+        async def act(got, reader, writer):
+            await go.wait()
+            writer.write(reply(200, b"whole"))
+
+        go = asyncio.Event()
+        server = await Fake(act).start()
+        stage = Stage(tmp_path, [entry("s0", server.address)])
+        async with contextlib.AsyncExitStack() as stack:
+            sidecar = await stack.enter_async_context(stage.sidecar)
+            first, _ = await stack.enter_async_context(client(sidecar, message("order", "first")))
+            second, _ = await stack.enter_async_context(client(sidecar, message("order", "second")))
+            await until(lambda: len(server.got) == 2)
+            stage.hold()
+            third, _ = await stack.enter_async_context(client(sidecar, message("order", "third")))
+            await stage.held()
+            judge, asked = stage.engine.balancer.write_by, []
+
+            def fail_once(*what):
+                asked.append(what)
+                if len(asked) == 1:
+                    raise RuntimeError("as if it had a fault")
+                return judge(*what)
+
+            stage.engine.balancer.write_by = fail_once
+            go.set()
+            async with asyncio.timeout(WAIT):
+                assert (await read_message(first)).body == b"whole"
+                assert (await read_message(second)).body == b"whole"
+                await read_message(third)
+            assert [got.headers["x-request-id"] for got in server.got].count("third") <= 1
+
+    run(play())
+
+
 async def pool_and_server():
     """A pool, and a server that reads nothing until it is told."""
     server = socket.socket()
