End a connection to a server that was closed while the loop took it over

Cause: `Connection.close` aborts its transport, and between a connect and `connection_made` it has none yet. Closed in that turn, as by `Directory.turn` (SIGHUP names another discovery; `HttpCalls.close`), it was counted back and marked as closed, so nothing ended its socket any more: the left discovery kept it, and the process a descriptor that it did not count, until the other side closed.

Change: `Connection.connection_made` aborts the transport of one that is closed already.

--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -273,6 +273,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport = cast(asyncio.Transport, transport)
         self.transport = transport
+        if self.closed:  # while the loop took it over
+            transport.abort()
+            return
         # Any byte that waits for the socket pauses writing, so `unwritten` tells whether the last one
         # has gone: the line between "never ran" and "may have run".
         transport.set_write_buffer_limits(high=0)
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -262,6 +262,41 @@
     run(play())
 
 
+def test_one_that_is_closed_while_the_loop_takes_it_over_ends():
+    """As a call to a discovery that is left, when SIGHUP names another: the two would stay connected."""
+
+    async def play():
+        class Closing:
+            """The loop, in which the pool closes between a connect and the call that it is made."""
+
+            def __getattr__(self, name):
+                return getattr(loop, name)
+
+            def create_connection(self, factory, sock):
+                def made():
+                    pool.close()
+                    return factory()
+
+                return loop.create_connection(made, sock=sock)
+
+        loop = asyncio.get_running_loop()
+        server = listener()
+        server.setblocking(False)
+        pool = make(server.getsockname())
+        pool.loop = Closing()
+        _, end = start(pool)
+        peer, _ = await loop.sock_accept(server)
+        assert (await end)[0] is Status.CONNECT_FAILED
+        async with asyncio.timeout(WAIT):
+            with contextlib.suppress(ConnectionResetError):
+                assert await loop.sock_recv(peer, 1) == b""
+        assert not pool.descriptors.held
+        peer.close()
+        server.close()
+
+    run(play())
+
+
 def test_an_endless_answer_is_cut_off():
     async def play():
         async def act(message, reader, writer):
