Leave nothing of a connect that fails to the collector

Cause: a `Connection` and its parser refer to each other, and only `connection_lost` undid that. One that never came up has no transport that calls it, so `_connect` left each of them to the collector, which comes after 20,000 objects (`app/process.py`).

Change: `_connect` calls `connection_lost` in the transport's place; it closes the connection as before.

The new test fails without the change and passes with it.

--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -709,7 +709,7 @@
                 await self.loop.sock_connect(sock, target.address)
         except (OSError, asyncio.CancelledError):
             target.opening.pop(exchange, None)
-            connection.close()
+            connection.connection_lost(None)  # it had no transport that would tell it
             sock.close()
             if exchange.connection is None:  # else it took one that came free meanwhile
                 exchange.end(Status.CONNECT_FAILED)
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -499,3 +499,25 @@
         assert exchange_gone
 
     run(play())
+
+
+def test_a_connect_that_fails_leaves_nothing_to_the_collector():
+    """Guards the memory while a server is down: each attempt at it fails to connect."""
+
+    async def play():
+        server = listener()
+        pool = make(server.getsockname())
+        server.close()
+        gc.disable()
+        try:
+            _, end = start(pool)
+            (connection,) = pool.connections
+            seen = weakref.ref(connection)
+            del connection
+            assert (await end)[0] is Status.CONNECT_FAILED
+            await until(lambda: seen() is None)
+        finally:
+            gc.enable()
+        pool.close()
+
+    run(play())
