Let no client give way that still reads its answers and has begun its next message

Cause: who may be closed to make room is asked of `ClientConnection.serving`, which was true only while an attempt is out (connection.py, `serving`; clients.py, `_let_go` and `_one_to_leave`, their second choice). A client that sends ahead and reads slowly has answers in the own buffer, and whole requests that wait for these to be read; with half a further message sent it counted as one that waits for nothing. It was reset: an answer counted as given was cut, and what waited had none.

Change: a client is served as long as something waits to be taken up or to be read. One that reads nothing is let go by `slow_reader` as before.

--- a/ochreflow/http/connection.py
+++ b/ochreflow/http/connection.py
@@ -180,7 +180,8 @@
 
     @property
     def serving(self) -> bool:
-        return self.current is not None
+        """Whether its client is owed an answer, or the rest of one that it has not read yet."""
+        return self.current is not None or bool(self.waiting) or self.unread
 
     @property
     def quiet(self) -> bool:
--- a/tests/test_net_front.py
+++ b/tests/test_net_front.py
@@ -216,6 +216,45 @@
     run(play())
 
 
+@pytest.mark.parametrize("ahead", [False, True])
+def test_a_client_that_still_reads_an_answer_does_not_give_way(tmp_path, ahead):
+    """It has begun its next message; ahead of that, a whole one may wait until the answers are read."""
+
+    async def play():
+        async def act(got, reader, writer):
+            writer.write(reply(200, bytes(60 * 1024)))
+
+        loop = asyncio.get_running_loop()
+        server = await Fake(act).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s0", server.address)))) as sidecar:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.setblocking(False)
+            await loop.sock_connect(sock, (HOST, sidecar.port))
+            reader, writer = await asyncio.open_connection(sock=sock, limit=1024)
+            await until(lambda: sidecar.http.clients.all)
+            (one,) = sidecar.http.clients.all
+            asked = 0
+            while not one.unread:
+                writer.write(message("order", f"{asked}"))
+                asked += 1
+                await until(lambda asked=asked: len(server.got) == asked and one.current is None)
+            if ahead:
+                writer.write(message("order", f"{asked}"))
+                asked += 1
+                await until(lambda: one.waiting)
+            writer.write(message("order", "next")[:20])
+            await until(lambda: one in sidecar.http.clients.heard)
+            assert not sidecar.engine.descriptors.make_room()
+            for _ in range(asked):
+                assert len((await read_message(reader)).body) == 60 * 1024
+            await until(lambda: not one.serving)
+            assert sidecar.engine.descriptors.make_room()  # a message that has begun is all there is now
+            writer.close()
+
+    run(play())
+
+
 def test_a_planned_end_cuts_no_answer_that_is_being_read(tmp_path, monkeypatch):
     """Guards answers on their way out when idle clients are closed."""
     monkeypatch.setattr(clients, "SLOW_READER", 60.0)
