Leave a watch or a failure where taking what a late call says fails

Cause: `Directory._watched` takes the news of a call of an earlier round and watches then; an exception on the way (directory.py, `_take` before `watch`) left the module watching, as it had the news, and no call out: it would never ask again. The branch for calls in time has had its `finally` for that.

Change: the late branch has one too.

--- a/ochreflow/membership/directory.py
+++ b/ochreflow/membership/directory.py
@@ -222,8 +222,10 @@
     def _watched(self, number: int, news: News | None, reason: str) -> None:
         if number != self.round:
             if news is not None:
-                self._take(news)  # it was written to this sidecar, so it counts as told
-                self.watch(True)  # the module takes it for watching from here on
+                try:
+                    self._take(news)  # it was written to this sidecar, so it counts as told
+                finally:
+                    self.watch(True)  # the module takes it for watching from here on
             return
         if self.overdue is not None:
             self.overdue.cancel()
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -219,6 +219,41 @@
     run(play())
 
 
+def test_a_fault_in_taking_what_a_late_call_says_leaves_a_watch_or_a_failure():
+    """The module has the news by then and takes it for watching: without either it would never ask again."""
+
+    async def play():
+        async def act(message, reader, writer):
+            if len(fake.got) == 1:
+                await go.wait()
+                writer.write(listing(3, entry("s1", f"{HOST}:7")))
+            else:
+                await reader.read()
+
+        def take(told):
+            heard.append(told)
+            if told is not None:
+                raise RuntimeError("as if a carrier had a fault")
+
+        go = asyncio.Event()
+        fake = await Fake(act).start()
+        heard = []
+        watcher = Directory(
+            asyncio.get_running_loop(), calls, (HOST, fake.port), names(), None, take, False, SHORT
+        )
+        watcher.watch(True)
+        watcher.waits = USUAL  # only the first call is overdue soon
+        await until(lambda: heard)
+        go.set()
+        await until(lambda: len(heard) > 1)
+        # The fault ends the connection as well, and so the call that has just begun on it: that is told.
+        await until(lambda: watcher.watching or heard[-1] is None)
+        assert len(heard) == 2 or heard[2:] == [None]
+        watcher.close()
+
+    run(play())
+
+
 def test_a_call_beside_a_silent_watch_that_is_silent_too_is_followed_by_another_at_once():
     """The first two calls are never answered: the third is made before the module is asked for a time."""
 
