Count no attempt as in flight at a server that left while its body came

Cause: an attempt whose body still comes is not among its server's `out`, so `Fleet.regroup` forgets a server that leaves the list meanwhile. `Balancer._on_uploaded` (logic.py) then counted the attempt at the forgotten one and added it to `Fleet.inflight`, and its end, which is looked up by the server's number, took nothing off again. Each such body narrowed what the limit admits by one for the life of the process.

Change: it is counted only where its server is still the one that is known.

Measured: the new test fails without the change (1 in flight after the end) and passes with it.

--- a/ochreflow/policy/logic.py
+++ b/ochreflow/policy/logic.py
@@ -143,11 +143,11 @@
         req = self.open.get(event.id)
         if req is None or not req.uploading:
             return
-        req.uploading = False
-        req.deadline = event.deadline_ns
+        req.uploading, req.deadline = False, event.deadline_ns
         attempt = req.attempts[-1]
         attempt[1] = self.ctx.now
-        self._count_out(req, attempt[0], len(req.attempts) - 1)
+        if (server := self.fleet.servers.get(attempt[0].id)) and server is attempt[0]:  # else it has left
+            self._count_out(req, server, len(req.attempts) - 1)
 
     def _on_probe(self, event: api.ProbeResult) -> None:
         server = self.fleet.servers.get(event.server)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -17,10 +17,12 @@
     RequestClass,
     Send,
     SetTimer,
+    State,
     Status,
     Tell,
     Tenant,
     Timer,
+    Uploaded,
 )
 
 
@@ -449,3 +451,16 @@
     feed.run(1, 700, fast)
     assert share(feed.run(2, 700, fast), Refuse) < 0.4
     assert share(feed.run(1, 700, fast), Refuse) < 0.1
+
+
+def test_a_body_that_is_through_at_a_server_that_left_meanwhile_is_not_held_for_ever():
+    """Its end is no known server's any more: counted as in flight it would narrow the limit for good."""
+    balancer, now = make(entries=[endpoint(1), endpoint(2)])
+    sent = balancer.handle(now, Request(7, 0, 0, now + 2 * SECOND, uploading=True))
+    (server,) = {action.server for action in sent if isinstance(action, Send)}
+    now += MS
+    balancer.handle(now, Membership(ListKind.DELTA, 2, [endpoint(server, state=State.GONE)]))
+    balancer.handle(now + MS, Uploaded(7, now + 2 * SECOND))
+    assert balancer.fleet.inflight == 0
+    balancer.handle(now + 2 * MS, Outcome(7, 0, server, Status.OK, MS, True))
+    assert balancer.fleet.inflight == 0
