--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -87,6 +87,7 @@
 
     __slots__ = (
         "answer_most",
+        "barred",
         "body",
         "connection",
         "done",
@@ -121,6 +122,7 @@
         self.relay = relay  # for an answer that is not held; None: every answer is
         self.within = within  # asked as its first byte is to go out: see `Watcher.write_within`
         self.generation = 0  # of its server when it was started
+        self.barred = False  # it was found that it must not begin any more, and its end is on the way
         self.late: asyncio.TimerHandle | None = None  # rings when its last byte must have gone out
         self.paused = False  # the relay takes no more at present
         self.connection: Connection | None = None  # once the first byte has gone out
@@ -271,6 +273,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport = cast(asyncio.Transport, transport)
         self.transport = transport
+        if self.closed:  # while the loop took it over
+            transport.abort()
+            return
         # Any byte that waits for the socket pauses writing, so `unwritten` tells whether the last one
         # has gone: the line between "never ran" and "may have run".
         transport.set_write_buffer_limits(high=0)
@@ -664,8 +669,10 @@
         """
         target = connection.target
         current = target.takes_new and exchange.generation == connection.generation == target.generation
+        current = current and not exchange.barred  # its end will say that it never ran: that must stay true
         within = exchange.within() if exchange.within is not None and current else math.inf
         if not current or within <= 0.0:
+            exchange.barred = True
             return Put.BARRED
         if not connection.send(exchange):
             return Put.DEAD
@@ -689,16 +696,20 @@
         self.connections.add(connection)
         self.descriptors.held += 1
         target.opening[exchange] = None
-        exchange.opening = self.loop.create_task(self._connect(target, exchange, connection))
+        # Not to be cancelled before its first turn: nothing of it would run, nor let the connection go.
+        self.loop.create_task(self._connect(target, exchange, connection))
 
     async def _connect(self, target: Target, exchange: Exchange, connection: Connection) -> None:
         sock = connection.sock
+        exchange.opening = asyncio.current_task()
         try:
+            if exchange.ended:
+                raise ConnectionAbortedError
             async with asyncio.timeout(self.connect_timeout):
                 await self.loop.sock_connect(sock, target.address)
         except (OSError, asyncio.CancelledError):
             target.opening.pop(exchange, None)
-            connection.close()
+            connection.connection_lost(None)  # it had no transport that would tell it
             sock.close()
             if exchange.connection is None:  # else it took one that came free meanwhile
                 exchange.end(Status.CONNECT_FAILED)
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -237,6 +237,66 @@
     run(play())
 
 
+@pytest.mark.parametrize("how", ["given up", "drain"])
+def test_one_that_ends_in_the_turn_of_its_start_leaves_no_connection(how):
+    """As where one turn brings a request, and then the news that its server drains."""
+
+    async def play():
+        server = listener()
+        pool = make(server.getsockname())
+        exchange, end = start(pool)
+        if how == "drain":
+            pool.update(1, server.getsockname(), 0, State.DRAINING)
+        else:
+            exchange.give_up(Status.CANCELLED)
+        assert (await end)[0] is Status.CONNECT_FAILED
+        assert pool.descriptors.held == 1
+        await until(lambda: not pool.descriptors.held, "its descriptor is counted back")
+        assert not pool.connections and not pool.targets[1].opening
+        server.setblocking(False)
+        with pytest.raises(BlockingIOError):
+            server.accept()  # no connect is tried for it
+        server.close()
+        pool.close()
+
+    run(play())
+
+
+def test_one_that_is_closed_while_the_loop_takes_it_over_ends():
+    """As a call to a discovery that is left, when SIGHUP names another: the two would stay connected."""
+
+    async def play():
+        class Closing:
+            """The loop, in which the pool closes between a connect and the call that it is made."""
+
+            def __getattr__(self, name):
+                return getattr(loop, name)
+
+            def create_connection(self, factory, sock):
+                def made():
+                    pool.close()
+                    return factory()
+
+                return loop.create_connection(made, sock=sock)
+
+        loop = asyncio.get_running_loop()
+        server = listener()
+        server.setblocking(False)
+        pool = make(server.getsockname())
+        pool.loop = Closing()
+        _, end = start(pool)
+        peer, _ = await loop.sock_accept(server)
+        assert (await end)[0] is Status.CONNECT_FAILED
+        async with asyncio.timeout(WAIT):
+            with contextlib.suppress(ConnectionResetError):
+                assert await loop.sock_recv(peer, 1) == b""
+        assert not pool.descriptors.held
+        peer.close()
+        server.close()
+
+    run(play())
+
+
 def test_an_endless_answer_is_cut_off():
     async def play():
         async def act(message, reader, writer):
@@ -439,3 +499,25 @@
         assert exchange_gone
 
     run(play())
+
+
+def test_a_connect_that_fails_leaves_nothing_to_the_collector():
+    """Guards the memory while a server is down: each attempt at it fails to connect."""
+
+    async def play():
+        server = listener()
+        pool = make(server.getsockname())
+        server.close()
+        gc.disable()
+        try:
+            _, end = start(pool)
+            (connection,) = pool.connections
+            seen = weakref.ref(connection)
+            del connection
+            assert (await end)[0] is Status.CONNECT_FAILED
+            await until(lambda: seen() is None)
+        finally:
+            gc.enable()
+        pool.close()
+
+    run(play())
