Say which share of a core can't be measured, in place of a traceback

Cause: benchmarks/start.py read shares as fractions, and 1/0 ended in a traceback; 0, 2 and -1/2 were taken. Change: the parser says that the value is invalid. Result: 1/0, 0, 2, x and -1/2 are each refused in one line, exit 2; shares 1 and 1/2 run.

--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -255,12 +255,18 @@
     subprocess.run([sys.executable, "-m", "compileall", "-q", "ochreflow"], cwd=folder, check=True)
 
 
+def part(text: str) -> Fraction:
+    """A share of a core. ValueError, which the parser tells: it is no number above 0 and at most 1."""
+    top, _, bottom = text.partition("/")
+    if not int(bottom or 1) or not 0 < (share := Fraction(int(top), int(bottom or 1))) <= 1:
+        raise ValueError
+    return share
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("--starts", type=int, default=5, help="of each kind")
-    parser.add_argument(
-        "--shares", type=Fraction, nargs="+", default=[Fraction(one) for one in SHARES.split()]
-    )
+    parser.add_argument("--shares", type=part, nargs="+", default=[Fraction(one) for one in SHARES.split()])
     parser.add_argument("--servers", type=int, default=200)
     parser.add_argument("--slice", type=float, default=2.0, help="milliseconds that it runs at a time")
     given = parser.parse_args()
