Close no known client for a connection that is not accepted yet

Acceptor._pause closes up to eight that wait for nothing; those accepted in the same turn are no clients yet, so the known one was closed: "3 that waited closed", and its next request met the end.

Change: for newcomers the clients give way only while one of them is unknown to the gate (Clients.give_way_to_newcomer, Gate.knows); for what has been taken they do as before.

--- a/ochreflow/admission/gate.py
+++ b/ochreflow/admission/gate.py
@@ -153,6 +153,11 @@
         """
         return min(keys, key=lambda key: self._rank(now, key))
 
+    def knows(self, now: float, key: Key) -> bool:
+        """Whether this connection's address is known."""
+        one = self.of.get(key)
+        return one is not None and self._known(now, one)
+
     def _rank(self, now: float, key: Key) -> tuple[bool, bool, int]:
         one = self.of.get(key)
         if one is None:
--- a/ochreflow/http/acceptor.py
+++ b/ochreflow/http/acceptor.py
@@ -75,7 +75,7 @@
         wait = self.door.short(monotonic())
         gone = 0
         if error.errno in SHORT:
-            while gone < GIVE_WAY and self.clients.give_way():
+            while gone < GIVE_WAY and self.clients.give_way_to_newcomer():
                 gone += 1
         log.warning("accept_paused", reason=error.strerror or str(error), seconds=wait, closed=gone)
         self.loop.remove_reader(self.sock)
--- a/ochreflow/http/clients.py
+++ b/ochreflow/http/clients.py
@@ -80,6 +80,8 @@
 
     def first_to_go(self, now: float, keys: Iterable[Client]) -> Client: ...
 
+    def knows(self, now: float, key: Client) -> bool: ...
+
 
 class Clients:
     """Every connection is in `waited` while a message is owed, in `idle` when nothing is, or in neither.
@@ -203,14 +205,27 @@
         """
         return self._let_go(1) > 0
 
+    def give_way_to_newcomer(self) -> bool:
+        """The same for a connection that is not accepted yet: no known client goes for one that is not known.
+
+        Those accepted in this turn are not among the clients yet, so a known one may be all that could go.
+        """
+        now = monotonic()
+        if self.gate is not None and all(self.gate.knows(now, one) for one in self._could_go()):
+            return False
+        return self.give_way()
+
+    def _could_go(self) -> Iterable[Client]:
+        """Those that wait for nothing, the oldest first."""
+        quiet = (one for one in self.idle if one.quiet)
+        return chain(quiet, (one for one in self.heard if not one.serving))
+
     def _let_go(self, most: int) -> int:
         """Close up to so many that wait for nothing; how many they were."""
-        quiet = (one for one in self.idle if one.quiet)
-        could = chain(quiet, (one for one in self.heard if not one.serving))
         if self.gate is None:
-            going = list(islice(could, most))
+            going = list(islice(self._could_go(), most))
         else:
-            left, going = dict.fromkeys(could), []
+            left, going = dict.fromkeys(self._could_go()), []
             while left and len(going) < most:
                 going.append(self.gate.first_to_go(monotonic(), left))
                 del left[going[-1]]
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -547,7 +547,7 @@
 class Silent:
     """A client's connection without a socket, which has said nothing."""
 
-    begun = head_ended = asked = paused = idle = quiet = False
+    begun = head_ended = asked = paused = idle = quiet = known = False
     size, host = 0, HOST
 
     def __init__(self, clients, serving):
@@ -570,6 +570,9 @@
     def first_to_go(self, _, keys):
         return list(keys)[-1]
 
+    def knows(self, _, key):
+        return key.known
+
 
 @pytest.mark.parametrize("gate", [None, LatestFirst()], ids=["no-gate", "gate"])
 def test_clients_are_cut_down_to_a_smaller_share_in_steps_and_none_that_is_served(gate):
@@ -595,6 +598,20 @@
     assert len(clients.all) == clients.descriptors.connected == share
 
 
+def test_no_known_client_gives_way_to_a_connection_that_is_not_accepted_yet():
+    """With no descriptor at accept, unknown ones of the same turn are no clients yet: the known one went."""
+    clients = Clients(Descriptors(LEAST))
+    clients.gate = LatestFirst()
+    come = [Silent(clients, serving=False) for _ in range(3)]
+    for one in come:
+        clients.add(one)
+    come[0].known = True
+    while clients.give_way_to_newcomer():
+        pass
+    assert list(clients.all) == [come[0]]
+    assert clients.give_way()  # for what has been taken it does
+
+
 def test_the_count_goes_by_what_the_system_gives(monkeypatch):
     descriptors = Descriptors(1024)
     descriptors.cap(LEAST)
