Split the connections to servers by job: response, exchange, connection, pool

Change: `response.py` has the response, what it proves (`classify`) and its parser, which knows no connection; `framing.py` how a request's body is framed; `exchange.py` the exchange and its relay; `upstream_connection.py` the connection and its server's address; `upstream.py` the pool and connecting. `Answer` is `Response` there. No behaviour is changed. Tests: imports alone, and `STALL_MOST` is patched in the module that has it now.

--- a/ochreflow/http/calls.py
+++ b/ochreflow/http/calls.py
@@ -8,7 +8,9 @@
 from ..core.limits import MB, Descriptors, Memory
 from ..core.ports import Address
 from ..policy.interface import State, Status
-from .upstream import Answer, Exchange, Upstreams
+from .exchange import Exchange
+from .response import Response
+from .upstream import Upstreams
 
 CONNECT_WITHIN = 2.0  # seconds, as long as an answer may take: `policy/fleet.py` counts on no more
 IDLE_MOST = 30.0
@@ -27,7 +29,7 @@
     def get(self, target: str, within: float, done: Callable[[bytes | None, str], None]) -> None:
         """Ask once; `done` hears the body of a 200, or None and what there was instead of one."""
 
-        def ended(_: Exchange, status: Status, answer: Answer | None) -> None:
+        def ended(_: Exchange, status: Status, answer: Response | None) -> None:
             if status is Status.OK and answer is not None:
                 done(answer.body, "")
             else:
--- a/ochreflow/http/carrier.py
+++ b/ochreflow/http/carrier.py
@@ -7,9 +7,11 @@
 from ..core.body import HOLD_MOST, Body
 from ..core.ports import Address, Call, Carriage, Watcher
 from ..policy.interface import State, Status
+from .exchange import Exchange
 from .grammar import HttpCall
 from .reports import Reports
-from .upstream import Answer, Exchange, Upstreams
+from .response import Response
+from .upstream import Upstreams
 
 MS = 1_000_000
 
@@ -31,11 +33,11 @@
             left = max(watcher.time_left() // MS, 1)
             return b"%sX-Deadline: %dm\r\n%s" % (payload, left, b"\r\n" if body is None else b"")
 
-        def done(_: Exchange, status: Status, answer: Answer | None) -> None:
+        def done(_: Exchange, status: Status, response: Response | None) -> None:
             report: tuple[float, ...] = ()
-            if answer is not None and answer.load and self.reports.columns:
-                report = self.reports.read(answer.load)
-            watcher.ended(status, answer, report)
+            if response is not None and response.load and self.reports.columns:
+                report = self.reports.read(response.load)
+            watcher.ended(status, response, report)
 
         exchange = Exchange(head, done, HOLD_MOST, watcher.written, body, watcher, watcher.write_within)
         self.upstreams.start(server, exchange, timeout)
@@ -47,10 +49,10 @@
         return b"%s %s HTTP/1.1\r\n%s" % (call.method, call.target, b"".join(call.headers))
 
     def probe(self, server: int, timeout: float, done: Callable[[Status, tuple[float, ...]], None]) -> None:
-        def ended(_: Exchange, status: Status, answer: Answer | None) -> None:
+        def ended(_: Exchange, status: Status, response: Response | None) -> None:
             report: tuple[float, ...] = ()
-            if answer is not None and self.reports.columns:
-                report = self.reports.read(answer.load or answer.body.strip())
+            if response is not None and self.reports.columns:
+                report = self.reports.read(response.load or response.body.strip())
             done(status, report)
 
         head = b"GET %s HTTP/1.1\r\nHost: probe\r\n\r\n" % self.probe_path
--- a/ochreflow/http/connection.py
+++ b/ochreflow/http/connection.py
@@ -18,7 +18,8 @@
 from .clients import Clients
 from .grammar import Grammar, HttpCall, RequestError
 from .progress import HangupWatch, Patience, peer_gone, unread
-from .upstream import HOP_BY_HOP, Answer
+from .response import HOP_BY_HOP
+from .response import Response as Answer
 
 BODY_MOST = 40 * 1024 * 1024  # messages reach 32 MB
 HEADERS_MOST = 32 * 1024
--- /dev/null
+++ b/ochreflow/http/framing.py
@@ -0,0 +1,20 @@
+"""How a request's body is framed on its way to a server."""
+
+from __future__ import annotations
+
+from ..core.body import Body
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def chunk(data: bytes | bytearray) -> bytes:
+    """One chunk of a chunked body; nothing for no data, since an empty chunk ends the body."""
+    return b"%x\r\n%s\r\n" % (len(data), data) if data else b""
+
+
+def framed(body: Body) -> bytes:
+    """The end of the head, which says how the body is framed, and all that is held of it."""
+    length = len(body.held) if body.complete else body.length
+    if length is not None:
+        return b"Content-Length: %d\r\n\r\n%s" % (length, body.held)
+    return b"Transfer-Encoding: chunked\r\n\r\n" + chunk(body.held)
--- /dev/null
+++ b/ochreflow/http/response.py
@@ -0,0 +1,216 @@
+"""Parses a server's responses, one after another, from the bytes of one connection.
+
+Nothing is known here of sockets or of what waits for the response: whoever reads the connection feeds the
+bytes in, and asks afterwards whether the response is complete, invalid, or to be relayed.
+
+A short response is buffered until it is complete. A longer one, and one whose length is not stated, can be
+taken out in parts as it comes.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import httptools
+
+from ..core.limits import Memory
+from ..policy.interface import Status
+
+HEADERS_MOST = 32 * 1024  # bytes of a response's head and of all its framing
+RELAY_MOST = 40 * 1024 * 1024  # of the body of a response that is relayed; messages reach 32 MB
+FRAMING_MOST = 8  # bytes on the socket for each one of a body, in the smallest of chunks
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+    )
+)
+
+
+@dataclass(slots=True)
+class Response:
+    """A complete response, or the head of one that is relayed."""
+
+    code: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    not_run: bool  # the server says that it did not run the request
+    load: bytes
+
+
+def classify(response: Response) -> Status:
+    """What a response proves. Only the header proves that a request never ran, not the code alone."""
+    if response.code == 200:
+        return Status.OK
+    if response.code in (503, 504) and response.not_run:
+        return Status.FULL
+    return Status.ERROR
+
+
+class ResponseParser:
+    """Parses a response at a time: `start` for each request, then `feed`, and `end` at the end of stream."""
+
+    def __init__(self, memory: Memory) -> None:
+        self._memory = memory
+        self._parser = httptools.HttpResponseParser(self)
+        self._reserved = 0  # bytes of the body that the memory is reserved for
+        self.start(0, may_relay=False)
+
+    # What the connection calls
+
+    def start(self, buffer_limit: int, may_relay: bool) -> None:
+        """Expect the response to the next request, of which at most `buffer_limit` bytes are buffered."""
+        self._buffer_limit = buffer_limit
+        self._may_relay = may_relay
+        self._size = 0  # of all that came for this request
+        self._relayed = 0  # bytes of the body that have been taken out
+        self.relaying = False
+        self.invalid = False
+        self._start_message()
+
+    def _start_message(self) -> None:
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._in_body = False
+        self._length = b""
+        self._encoding = b""
+        self._not_run = False
+        self._load = b""
+        self._until_end = False  # only the connection's end delimits it
+        self.keep_alive = False
+        self.complete: Response | None = None
+        self.surplus = False  # more came after the complete response
+
+    def feed(self, data: bytes) -> None:
+        """Parse what has come. Afterwards the response may be `complete` or `invalid`."""
+        self._size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if self.complete is None:
+                self.invalid = True
+            else:
+                self.surplus = True
+        if self.complete is None and self._size > self._size_limit():
+            self.invalid = True  # guards against an endless response filling the memory
+
+    def end(self) -> bool:
+        """Take the end of the stream; whether the response is complete by it."""
+        if not self._until_end or self.invalid:
+            return False
+        self._complete()
+        return True
+
+    def needs_relay(self) -> bool:
+        """Whether the response is of use to its client, and too long to buffer or of a length not told."""
+        if not self._may_relay or not self._in_body or not self._body:
+            return False
+        return self._parser.get_status_code() == 200 and (
+            bool(self._encoding) or self._until_end or int(self._length) > self._buffer_limit
+        )
+
+    def start_relay(self) -> tuple[Response, int | None]:
+        """Its head, and the length of its body if that is told. The body is to be taken out in parts."""
+        self.relaying = True
+        length = None if self._encoding or self._until_end else int(self._length)
+        return self._response(b""), length
+
+    def take_part(self) -> bytes:
+        """Take out what has come of the body."""
+        data = b"".join(self._body)
+        self._body = []
+        self._release_memory()
+        self._relayed += len(data)
+        return data
+
+    def release(self) -> None:
+        """Let go of what the response took."""
+        self._release_memory()
+        self._body, self._headers, self.complete = [], [], None
+
+    def close(self) -> None:
+        """Drop the reference cycle with the underlying parser; nothing can be fed in any more."""
+        del self._parser
+
+    def _size_limit(self) -> int:
+        if not self._in_body:
+            return HEADERS_MOST
+        return HEADERS_MOST + (RELAY_MOST * FRAMING_MOST if self._may_relay else self._buffer_limit)
+
+    def _release_memory(self) -> None:
+        self._memory.release(self._reserved)
+        self._reserved = 0
+
+    # What the underlying parser calls
+
+    def on_message_begin(self) -> None:
+        if self.complete is not None:
+            self.surplus = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.complete is not None:
+            return
+        low, value = name.lower(), value.strip(b" \t")
+        if low == b"x-not-run":
+            self._not_run = value == b"1"
+        elif low == b"x-load":
+            self._load = value
+        elif low == b"content-length":
+            self._length = value
+        elif low == b"transfer-encoding":
+            self._encoding = value
+        elif low not in HOP_BY_HOP:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        code = self._parser.get_status_code()
+        if self.complete is not None or code < 200:
+            return
+        self._in_body = True
+        most = RELAY_MOST if self._may_relay and code == 200 else self._buffer_limit
+        # What can't fit is known to be of no use before it comes.
+        if self._encoding:
+            self.invalid = self._encoding.lower() != b"chunked"
+        elif self._length:
+            self.invalid = not self._length.isdigit() or int(self._length) > most
+        elif code != 200:
+            self._complete()  # the head says all; its body has no end but the connection's
+        else:
+            self._until_end = True
+
+    def on_body(self, data: bytes) -> None:
+        if self.complete is not None or self.invalid:
+            return
+        if self._relayed + self._reserved + len(data) > RELAY_MOST or not self._memory.reserve(len(data)):
+            self.invalid = True
+            return
+        self._reserved += len(data)
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        if self.complete is not None:
+            return
+        code = self._parser.get_status_code()
+        if code < 200:  # an interim response, the final one follows; its size counts on, or it had no bound
+            self._start_message()
+            return
+        if self.invalid:
+            return
+        # Asked here, since the parser answers for the next message as soon as this call is over: asked
+        # later it is always no, and every request pays for a connection of its own.
+        self.keep_alive = self._parser.should_keep_alive()
+        self._complete()
+
+    def _complete(self) -> None:
+        self.complete = self._response(b"" if self.relaying else b"".join(self._body))
+
+    def _response(self, body: bytes) -> Response:
+        return Response(self._parser.get_status_code(), self._headers, body, self._not_run, self._load)
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -27,7 +27,8 @@
 )
 
 from ochreflow.core.limits import MB, Descriptors, Memory
-from ochreflow.http.upstream import Exchange, Upstreams
+from ochreflow.http.exchange import Exchange
+from ochreflow.http.upstream import Upstreams
 from ochreflow.policy.interface import ListKind, Membership, Outcome, State, Status
 
 SOON = 1.0  # seconds: an answer at the deadline would come a second later
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -11,8 +11,9 @@
 from net_helpers import HOST, WAIT, Fake, answer_ok, reply, run, silent, until
 
 from ochreflow.core.limits import MB, Descriptors, Memory
-from ochreflow.http import upstream
-from ochreflow.http.upstream import Exchange, Upstreams
+from ochreflow.http import upstream, upstream_connection
+from ochreflow.http.exchange import Exchange
+from ochreflow.http.upstream import Upstreams
 from ochreflow.policy.interface import State, Status
 
 PAYLOAD = b"GET /lookup HTTP/1.1\r\nX-Request-Id: ab\r\n\r\n"
@@ -376,7 +377,7 @@
 )
 def test_a_spoilt_answer_is_a_reset_at_once_and_its_connection_is_closed(spoilt, monkeypatch):
     """Guards requests against waiting to their deadline at a connection that stays open and is of no use."""
-    monkeypatch.setattr(upstream, "STALL_MOST", 0.2)
+    monkeypatch.setattr(upstream_connection, "STALL_MOST", 0.2)
 
     async def play():
         async def act(message, reader, writer):
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -25,7 +25,7 @@
 from ochreflow.core import lifecycle
 from ochreflow.core.body import HOLD_MOST, Body
 from ochreflow.core.limits import MB, Memory
-from ochreflow.http import clients, upstream
+from ochreflow.http import clients, framing, upstream
 from ochreflow.membership.directory import read_news
 from ochreflow.policy import interface as api
 
@@ -495,7 +495,7 @@
     memory = Memory(64 * MB)
     body, sink = Body(memory, None), Sink()
     assert body.add(bytes(bodies.HOLD_MOST + 1)) and body.stopped
-    assert upstream._framed(body).startswith(b"Transfer-Encoding: chunked\r\n\r\n10001\r\n")
+    assert framing.framed(body).startswith(b"Transfer-Encoding: chunked\r\n\r\n10001\r\n")
     body.flow(sink)
     assert body.spent and memory.held == 0 and not body.stopped
     body.add(b"abc")
