Name the parts of connections to servers by the field's terms

Change: `Put` is `SendResult` (started, rejected, dead), `Patience` is `StallTimer`, `barred` is `rejected`, `hold_back` is `pause_response`, `drop_unsent` is `discard_unsent`, `answer_most` is `response_limit`, `late` is `write_timer`, and so on, in `http/{upstream,upstream_connection,exchange,progress}.py`. Each public item there says what it does. No behaviour is changed; tests name the new names.

--- a/ochreflow/http/connection.py
+++ b/ochreflow/http/connection.py
@@ -18,7 +18,7 @@
 from ..core.stats import Disposition
 from .clients import Clients
 from .grammar import Grammar, HttpCall, RequestError
-from .progress import HangupWatch, Patience, peer_gone, unacknowledged, unread
+from .progress import HangupWatch, StallTimer, peer_gone, unacknowledged, unread
 from .response import HOP_BY_HOP
 from .response import Response as Answer
 
@@ -151,7 +151,7 @@
         self.paused = False  # no more is read until some of what waits goes on
         self.was_paused = False  # since `Clients` last looked
         self.unread = False  # the client leaves answers unread
-        self.slow: Patience | None = None
+        self.slow: StallTimer | None = None
         self.linger: asyncio.TimerHandle | None = None
         self.head_ended = False  # since `Clients` last looked
         self.looked_at = 0  # size of the body when `Clients` last looked
@@ -290,7 +290,7 @@
         self.unread = True
         if self.slow is None and self.transport is not None:
             waiting = partial(unacknowledged, self.transport)
-            self.slow = Patience(self.engine.loop, waiting, self.clients.times.slow_reader, self.close)
+            self.slow = StallTimer(self.engine.loop, waiting, self.clients.times.slow_reader, self.close)
         if self.passing is not None:
             self.passing.pause(True)
 
--- a/ochreflow/http/exchange.py
+++ b/ochreflow/http/exchange.py
@@ -1,7 +1,8 @@
 """One request on its way to one server, from its start to its one end.
 
-An exchange is written once and ends once. It is never written again by itself: what may have run, and whether
-to try again, is the module's to judge, so the end of each one says exactly what is known.
+An exchange is written at most once and never repeats itself. Whether to try again is for the decision module,
+so the end of an exchange has to say exactly what is known: a request that the system never took whole can't
+have run, and any other may have.
 """
 
 from __future__ import annotations
@@ -15,17 +16,21 @@
 from ..policy.interface import Status
 from .response import Response
 
+LEAST_WAIT = 0.001  # seconds: a timer that is due at once would fire within the call that sets it
+
 Done = Callable[["Exchange", Status, Response | None], None]
 
 
 class Relay(Protocol):
-    """Who takes an answer that is passed on as it comes. The exchange's end says how it ended."""
+    """Receives a response that is passed on while it comes. The end of the exchange says how it ended."""
 
     def begin(self, answer: Response, length: int | None) -> bool:
-        """Take the head; False if nobody wants it any more."""
+        """Take the head; False if nobody wants the response any more."""
         ...
 
-    def part(self, data: bytes) -> None: ...
+    def part(self, data: bytes) -> None:
+        """Take the next part of the body."""
+        ...
 
 
 class ServerConnection(Protocol):
@@ -35,43 +40,45 @@
 
     @property
     def unwritten(self) -> bool:
-        """Whether the last byte of the request has not gone out: it cannot have run."""
+        """Whether the system has not taken the last byte of the request, so that it can't have run."""
         ...
 
     @property
     def arrived(self) -> bool:
-        """Whether the server's machine has all of the request."""
+        """Whether the server's machine has acknowledged all of the request."""
         ...
 
-    def drop_unsent(self) -> None:
-        """Have the system throw away what it still holds when the connection is closed."""
+    def discard_unsent(self) -> None:
+        """Have the system discard what it still holds when the connection is closed."""
         ...
 
-    def hold_back(self, paused: bool) -> None:
-        """Read no further for now, or read on."""
+    def pause_response(self, paused: bool) -> None:
+        """Stop reading the response for now, or read on."""
         ...
 
-    def close(self) -> None: ...
+    def close(self) -> None:
+        """Close at once: nothing is sent or received after this call."""
+        ...
 
 
 class Exchange:
-    """One request on its way to one server, until its one end."""
+    """One request to one server, and its response."""
 
     __slots__ = (
-        "answer_most",
-        "barred",
         "body",
         "connection",
         "done",
         "generation",
         "head",
-        "late",
         "loop",
         "opening",
         "paused",
+        "rejected",
         "relay",
+        "response_limit",
         "timer",
         "within",
+        "write_timer",
         "written",
     )
 
@@ -79,82 +86,85 @@
         self,
         head: Callable[[], bytes],
         done: Done,
-        answer_most: int,
+        response_limit: int,
         written: Callable[[], None] | None = None,
         body: Body | None = None,
         relay: Relay | None = None,
         within: Callable[[], float] | None = None,
     ) -> None:
-        # Made as it is written, since it tells the time that is left. None: it has ended.
+        # Called as the request is written, since its head tells the time that is left. None: it has ended.
         self.head: Callable[[], bytes] | None = head
         self.done: Done | None = done
-        self.answer_most = answer_most  # of an answer that is held
-        self.written = written  # called once, when its last byte has been written
+        self.response_limit = response_limit  # bytes of a response's body that are buffered
+        self.written = written  # called once, when the last byte has been handed to the system
         self.body = body  # follows the head, and may still be coming
-        self.relay = relay  # for an answer that is not held; None: every answer is
-        self.within = within  # asked as its first byte is to go out: see `Watcher.write_within`
+        self.relay = relay  # for a response too long to be buffered; None: every response is buffered
+        self.within = within  # asked as the first byte is to go out: see `Watcher.write_within`
         self.generation = 0  # of its server when it was started
-        self.barred = False  # it was found that it must not begin any more, and its end is on the way
-        self.late: asyncio.TimerHandle | None = None  # rings when its last byte must have gone out
+        self.rejected = False  # it must not begin any more, and its end has been scheduled
+        self.write_timer: asyncio.TimerHandle | None = None  # fires when the request must have arrived
         self.paused = False  # the relay takes no more at present
-        self.connection: ServerConnection | None = None  # once the first byte has gone out
+        self.connection: ServerConnection | None = None  # from the first byte on
         self.opening: asyncio.Task[None] | None = None  # while a connection is being made
         self.timer: asyncio.TimerHandle | None = None
         self.loop: asyncio.AbstractEventLoop | None = None  # from its start on
 
     @property
     def ended(self) -> bool:
+        """Whether its one end has been told."""
         return self.done is None
 
     @property
     def begun(self) -> bool:
-        """Whether a first byte has gone out."""
+        """Whether its first byte has been handed to the system."""
         return self.connection is not None
 
     @property
     def may_run(self) -> bool:
-        """Whether its last byte has gone out."""
+        """Whether its last byte has been handed to the system."""
         return self.connection is not None and not self.connection.unwritten
 
     def end(self, status: Status, answer: Response | None = None) -> None:
-        # Guards the memory as well: who waits refers to this, and would else be left to the collector.
+        """End it; only the first call counts."""
         done, self.done = self.done, None
         if done is None:
             return
         self.wait_no_more()
-        if self.late is not None:
-            self.late.cancel()
-            self.late = None
-        self.head = self.written = self.relay = self.within = None  # they refer to this as well
+        if self.write_timer is not None:
+            self.write_timer.cancel()
+            self.write_timer = None
+        # These refer to whoever refers to this exchange, a cycle that only the collector would free.
+        self.head = self.written = self.relay = self.within = None
         done(self, status, answer)
 
     def wait(self, seconds: float) -> None:
         """Give it up after so long."""
         self.wait_no_more()
         if not self.ended and self.loop is not None:
-            self.timer = self.loop.call_later(max(seconds, 0.001), self.give_up, Status.TIMEOUT)
+            self.timer = self.loop.call_later(max(seconds, LEAST_WAIT), self.give_up, Status.TIMEOUT)
 
     def wait_no_more(self) -> None:
+        """Cancel the time-out."""
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
 
     def pause(self, paused: bool) -> None:
-        """Backpressure: read the answer no further until its relay can take more."""
+        """Backpressure: read the response no further until its relay can take more."""
         self.paused = paused
         if self.connection is not None and not self.ended:
-            self.connection.hold_back(paused)
+            self.connection.pause_response(paused)
 
-    def finish_within(self, seconds: float) -> None:
-        """Cut it if the server's machine has not all of it after so long: from then on it must not arrive."""
+    def limit_write_time(self, seconds: float) -> None:
+        """Cut it off if the server's machine has not got all of it after so long."""
         if self.loop is not None and not self.ended and seconds < math.inf:
-            self.late = self.loop.call_later(seconds, self._too_late)
+            self.write_timer = self.loop.call_later(seconds, self._on_write_timeout)
 
-    def _too_late(self) -> None:
+    def _on_write_timeout(self) -> None:
         connection = self.connection
         if connection is None or connection.arrived:
             return
-        connection.drop_unsent()
+        connection.discard_unsent()
         # What the system still held may have arrived all the same, with its acknowledgement on the way.
         self.give_up(Status.MOOT if connection.unwritten else Status.CANCELLED)
 
@@ -166,7 +176,7 @@
             self.opening.cancel()
         connection = self.connection
         if (connection is None or connection.unwritten) and status is not Status.MOOT:
-            status = Status.CONNECT_FAILED  # its last byte was never written: it cannot have run
+            status = Status.CONNECT_FAILED  # the system never took its last byte: it can't have run
         if connection is not None:
             connection.exchange = None
             connection.close()
--- a/ochreflow/http/progress.py
+++ b/ochreflow/http/progress.py
@@ -1,4 +1,4 @@
-"""Whether a peer is still there, and whether a slow one still takes what is written to it."""
+"""Whether a peer is still connected, and whether a slow one still reads what is written to it."""
 
 from __future__ import annotations
 
@@ -90,8 +90,8 @@
             self.timer = None
 
 
-class Patience:
-    """Watches what waits to be written; a peer that takes nothing of it for so long is given up."""
+class StallTimer:
+    """Gives up a peer that has taken nothing of what waits to be written for so long."""
 
     def __init__(
         self,
--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -1,7 +1,7 @@
-"""The servers' side: attempts and probes as exchanges over pooled connections.
+"""The pool of connections to servers, and the exchanges that wait for one.
 
-Whether an exchange still may be sent is asked in the turn of its first byte, in one place
-(`Upstreams._put`): a connection may come up long after the decision to send.
+Whether an exchange may still be sent is asked again as its first byte is to be written, in one place
+(`Upstreams._try_send`): a connection may come up long after the decision to send.
 """
 
 from __future__ import annotations
@@ -17,19 +17,19 @@
 from .exchange import Exchange
 from .upstream_connection import Connection, Target
 
-IDLE_PART = 0.7  # of the time after which a server may close an idle connection
+IDLE_TIMEOUT_SHARE = 0.7  # of the time after which a server may close an idle connection itself
 
 
-class Put(Enum):
-    """What became of putting an exchange on a connection."""
+class SendResult(Enum):
+    """What became of an exchange that was to be sent on a connection."""
 
-    BEGUN = auto()
-    BARRED = auto()  # it must not be sent any more; the connection is as good as before
+    STARTED = auto()  # its first byte has been written
+    REJECTED = auto()  # it must not be sent any more; the connection can be used for others
     DEAD = auto()  # the connection was found dead, with nothing of the exchange sent
 
 
 class Upstreams:
-    """All connections to servers."""
+    """All connections to servers, by server."""
 
     def __init__(
         self,
@@ -37,20 +37,20 @@
         descriptors: Descriptors,
         memory: Memory,
         connect_timeout: float,
-        idle_most: float,
+        idle_timeout: float,
     ) -> None:
         self.loop = loop
         self.descriptors = descriptors
         self.memory = memory
         self.connect_timeout = connect_timeout
-        self.idle_most = idle_most * IDLE_PART
+        self.idle_timeout = idle_timeout * IDLE_TIMEOUT_SHARE
         self.targets: dict[int, Target] = {}
         self.connections: set[Connection] = set()
 
     # The list
 
     def update(self, server: int, address: tuple[str, int], since_ms: int, state: State) -> None:
-        """Take news of a server. Idle connections to what it was before are of no use."""
+        """Take a server's entry of the list. Idle connections to an earlier start or address are closed."""
         target = self.targets.get(server)
         if target is None:
             target = self.targets[server] = Target(address, since_ms)
@@ -58,19 +58,18 @@
             self.close_idle(server)
             target.since_ms, target.address = since_ms, address
             target.generation += 1
-        target.takes_new = state is State.READY
-        if not target.takes_new:
+        target.accepts_requests = state is State.READY
+        if not target.accepts_requests:
             self.close_idle(server)
-            # Guards a drain against requests that still wait for a connection: their first byte would
-            # go out after the server was told to be left alone.
+            # What still waits for a connection would be sent to a server that is to get nothing new.
             for exchange in list(target.opening):
                 exchange.give_up(Status.CONNECT_FAILED)
 
     def forget(self, server: int) -> None:
-        """Drop a server that is gone; what is out there keeps its connection."""
+        """Drop a server that is gone; exchanges under way keep their connections."""
         target = self.targets.pop(server, None)
         if target is not None:
-            target.takes_new = False
+            target.accepts_requests = False
 
     # Exchanges
 
@@ -80,7 +79,7 @@
         Without a time-out it waits until it is told to wait no longer: its body is still coming.
         """
         target = self.targets.get(server)
-        if target is None or not target.takes_new:
+        if target is None or not target.accepts_requests:
             self.loop.call_soon(exchange.end, Status.CONNECT_FAILED)
             return
         exchange.loop = self.loop
@@ -89,33 +88,34 @@
             exchange.wait(timeout)
         while target.idle:
             connection = target.idle.pop()
-            put = self._put(connection, exchange)
-            if put is Put.BARRED:
+            result = self._try_send(connection, exchange)
+            if result is SendResult.REJECTED:
                 target.idle.append(connection)
                 self.loop.call_soon(exchange.end, Status.MOOT)
-            if put is not Put.DEAD:
+            if result is not SendResult.DEAD:
                 return
             connection.close()  # found dead before anything was written: no attempt was made
         self._open(target, exchange)
 
     @staticmethod
-    def _put(connection: Connection, exchange: Exchange) -> Put:
-        """The one place where an exchange begins: judge whether it still may, and write it.
+    def _try_send(connection: Connection, exchange: Exchange) -> SendResult:
+        """Write an exchange if it still may be sent; the one place where an exchange begins.
 
-        Guards a server that has started anew or moved since the exchange was meant for it, and all that its
-        `within` knows of.
+        It may not if its server has restarted or moved since it was chosen, or if its `within` says so.
         """
         target = connection.target
-        current = target.takes_new and exchange.generation == connection.generation == target.generation
-        current = current and not exchange.barred  # its end will say that it never ran: that must stay true
+        current = (
+            target.accepts_requests and exchange.generation == connection.generation == target.generation
+        )
+        current = current and not exchange.rejected  # its end will say that it never ran: that must stay true
         within = exchange.within() if exchange.within is not None and current else math.inf
         if not current or within <= 0.0:
-            exchange.barred = True
-            return Put.BARRED
+            exchange.rejected = True
+            return SendResult.REJECTED
         if not connection.send(exchange):
-            return Put.DEAD
-        exchange.finish_within(within)
-        return Put.BEGUN
+            return SendResult.DEAD
+        exchange.limit_write_time(within)
+        return SendResult.STARTED
 
     def _open(self, target: Target, exchange: Exchange) -> None:
         if self.descriptors.full and not self.close_oldest() and not self.descriptors.make_room():
@@ -152,33 +152,34 @@
         self._use(connection, exchange)
 
     def _use(self, connection: Connection, exchange: Exchange) -> None:
-        """Put to use a connection that has come up, or has failed to."""
+        """SendResult to use a connection that has come up, or has failed to."""
         if exchange.ended or exchange.connection is not None:  # it is over, or took one that came free
             self.keep(connection)
             return
-        put = Put.DEAD if connection.closed else self._put(connection, exchange)
-        if put is Put.BARRED:
+        result = SendResult.DEAD if connection.closed else self._try_send(connection, exchange)
+        if result is SendResult.REJECTED:
             self.keep(connection)
             exchange.end(Status.MOOT)
-        elif put is Put.DEAD:
+        elif result is SendResult.DEAD:
             connection.close()
             exchange.end(Status.CONNECT_FAILED)
 
     # The pool
 
     def keep(self, connection: Connection) -> None:
+        """Use a free connection for an exchange that waits, or keep it for the next one."""
         target = connection.target
-        if connection.closed or not target.takes_new or connection.generation != target.generation:
+        if connection.closed or not target.accepts_requests or connection.generation != target.generation:
             connection.close()
             return
-        # One that waits for a connection of its own need not: the one that is being made is kept instead.
-        # One that has just been given up is still among them until its task has ended.
+        # The connection that is being made for a waiting exchange will be kept in place of this one.
+        # An exchange that has just been given up is among them until its task has ended.
         for exchange in [exchange for exchange in target.opening if not exchange.ended]:
-            put = self._put(connection, exchange)
-            if put is Put.BARRED:
+            result = self._try_send(connection, exchange)
+            if result is SendResult.REJECTED:
                 self.loop.call_soon(exchange.end, Status.MOOT)
                 continue
-            if put is Put.BEGUN:
+            if result is SendResult.STARTED:
                 del target.opening[exchange]
             else:
                 connection.close()
@@ -187,20 +188,21 @@
         target.idle.append(connection)
 
     def dropped(self, connection: Connection) -> None:
-        """A connection closes: from here on it is neither counted nor used."""
+        """Neither count nor use a connection any more: it closes."""
         self.connections.discard(connection)
         self.descriptors.held -= 1
         if connection in connection.target.idle:
             connection.target.idle.remove(connection)
 
     def close_idle(self, server: int) -> None:
+        """Close the idle connections to a server."""
         target = self.targets.get(server)
         if target is not None:
             for connection in list(target.idle):
                 connection.close()
 
     def close_oldest(self) -> bool:
-        """Make room: close the connection that has stood idle longest."""
+        """Close the connection that has been idle longest; False if none is idle."""
         oldest = [target.idle[0] for target in self.targets.values() if target.idle]
         if not oldest:
             return False
@@ -208,13 +210,14 @@
         return True
 
     def sweep(self) -> None:
-        """Close what has stood idle well before the server does, or a request would meet its end."""
-        before = monotonic() - self.idle_most
+        """Close idle connections well before their servers do: a request could cross the server's close."""
+        before = monotonic() - self.idle_timeout
         for target in self.targets.values():
             while target.idle and target.idle[0].idle_since < before:
                 target.idle[0].close()
 
     def close(self) -> None:
+        """Close all connections."""
         for target in self.targets.values():
             for exchange in list(target.opening):
                 exchange.give_up(Status.CONNECT_FAILED)
--- a/ochreflow/http/upstream_connection.py
+++ b/ochreflow/http/upstream_connection.py
@@ -12,16 +12,18 @@
 from ..policy.interface import Status
 from .exchange import Exchange
 from .framing import LAST_CHUNK, chunk, framed
-from .progress import Patience
+from .progress import StallTimer
 from .response import ResponseParser, classify
 from .socket_stream import SocketStream
 
-STALL_MOST = 1.0  # seconds without a byte in an answer that is held: nobody knows of it yet
-RELAY_STALL_MOST = 2.5  # ... in one that the client has begun to get, and in what a server reads
+# Seconds without a byte after which a peer is given up. A buffered response can be replaced by another
+# attempt, so it is given up sooner than one that is relayed, or than a request that a server reads slowly.
+RESPONSE_STALL_TIMEOUT = 1.0
+RELAY_STALL_TIMEOUT = 2.5
 
 
 class ConnectionPool(Protocol):
-    """Whoever owns the connections to servers, and is told when one comes free or closes."""
+    """Owns the connections to servers, and is told when one comes free or closes."""
 
     loop: asyncio.AbstractEventLoop
     memory: Memory
@@ -31,20 +33,20 @@
         ...
 
     def dropped(self, connection: Connection) -> None:
-        """A connection closes: from here on it is neither counted nor used."""
+        """Neither count nor use a connection any more: it closes."""
         ...
 
 
 class Target:
-    """A server as an address with its connections."""
+    """A server's address, and the connections to it."""
 
     def __init__(self, address: tuple[str, int], since_ms: int) -> None:
         self.address = address
         self.since_ms = since_ms
-        self.generation = 0  # grows with each restart or move: connections of an earlier one are not kept
-        self.takes_new = True
+        self.generation = 0  # grows with each restart or move; connections of an earlier one are not reused
+        self.accepts_requests = True
         self.idle: list[Connection] = []  # the most recently used last
-        self.opening: dict[Exchange, None] = {}  # those that wait for a connection, in their order
+        self.opening: dict[Exchange, None] = {}  # exchanges that wait for a connection, in their order
 
 
 class Connection:
@@ -56,18 +58,18 @@
         self.generation = target.generation
         self.stream = SocketStream(pool.loop, sock, self)
         self.exchange: Exchange | None = None
-        self.uploading: Body | None = None  # more of this body comes
-        self.chunking = False  # it goes out in chunks
-        self.patience: Patience | None = None  # with a server that does not read
-        self.held_back = False  # not read at present: the answer's client is slower
+        self.uploading: Body | None = None  # a request body of which more is to come
+        self.chunking = False  # that body is sent in chunks
+        self.write_stall: StallTimer | None = None  # runs while a body waits for the server to read
+        self.response_paused = False  # nothing is read while the response's client is slower
         self.closed = False
         self.idle_since = 0.0
         self.response = ResponseParser(pool.memory)
-        self.heard = 0.0  # when the last bytes of an answer came
-        self.stalled: asyncio.TimerHandle | None = None
+        self.last_read = 0.0  # when the last bytes of the response came
+        self.read_stall: asyncio.TimerHandle | None = None  # runs while a response is incomplete
 
     def connected(self) -> None:
-        """The socket is connected: the server's end, and any bytes of it, are heard of from now on."""
+        """Start to read: the socket is connected."""
         self.stream.resume_reading()
 
     # What has been written
@@ -82,44 +84,46 @@
 
     @property
     def arrived(self) -> bool:
-        """Whether the server's machine has all of the request."""
+        """Whether the server's machine has acknowledged all of the request."""
         return not self.unwritten and self.stream.unacknowledged() == 0
 
-    def drop_unsent(self) -> None:
-        """Have the system throw away what it still holds when this is closed, in place of sending it on."""
+    def discard_unsent(self) -> None:
+        """Have the system discard what it still holds when this is closed, in place of sending it on."""
         self.stream.discard_on_close()
 
     def pause_writing(self) -> None:
-        """Some of the request waits for the socket: take no more of a body that is still coming."""
+        """Take no more of a body that is still coming: some of the request waits for the socket."""
         if self.uploading is None:
             return
         self.uploading.block(True)
-        if self.patience is None and not self.closed:
-            self.patience = Patience(
-                self.pool.loop, self.stream.unacknowledged, RELAY_STALL_MOST, self.connection_broken
+        if self.write_stall is None and not self.closed:
+            self.write_stall = StallTimer(
+                self.pool.loop, self.stream.unacknowledged, RELAY_STALL_TIMEOUT, self.connection_broken
             )
 
     def resume_writing(self) -> None:
-        """The socket has taken all that waited."""
-        self._no_patience()
+        """Go on with the body, or tell that the request is written: nothing waits for the socket any more."""
+        self._stop_write_stall()
         if self.uploading is not None:
             self.uploading.block(False)
         else:
             self._tell_written()
 
-    def _no_patience(self) -> None:
-        if self.patience is not None:
-            self.patience.stop()
-            self.patience = None
+    def _stop_write_stall(self) -> None:
+        if self.write_stall is not None:
+            self.write_stall.stop()
+            self.write_stall = None
 
     def _tell_written(self) -> None:
         if self.exchange is not None and self.exchange.written is not None:
             self.exchange.written()
 
     def body_part(self, data: bytes) -> None:
+        """Send the next part of a body that is still coming."""
         self.stream.write(chunk(data) if self.chunking else data)
 
     def body_end(self) -> None:
+        """Complete the request: the last part of its body has been sent."""
         assert self.uploading is not None
         self.uploading = None
         if self.chunking:
@@ -127,22 +131,23 @@
         if not self.unwritten:
             self._tell_written()
 
-    def hold_back(self, paused: bool) -> None:
-        """Read no further for now; what the server then does not write is no fault of its own."""
-        if self.closed or paused == self.held_back:
+    def pause_response(self, paused: bool) -> None:
+        """Stop reading for now, or read on. A server is not blamed for the time in which it was not read."""
+        if self.closed or paused == self.response_paused:
             return
-        self.held_back = paused
+        self.response_paused = paused
         if paused:
             self.stream.pause_reading()
         else:
-            self.heard = monotonic()
+            self.last_read = monotonic()
             self.stream.resume_reading()
 
     # The stream's calls
 
     def data_received(self, data: bytes) -> None:
+        """Parse what has come of the response, and act on it."""
         if self.exchange is None:
-            self.close()  # bytes that nobody asked for: what follows could be taken for another's answer
+            self.close()  # what follows could be taken for the response to the next request
             return
         self.response.feed(data)
         if self.response.invalid:
@@ -152,22 +157,22 @@
         elif self.response.complete is not None:
             self._finish()
         else:
-            self.heard = monotonic()
-            if self.stalled is None:
+            self.last_read = monotonic()
+            if self.read_stall is None:
                 self._watch_for_stall()
 
     def _watch_for_stall(self) -> None:
-        """Guards against an answer that says more than comes: it would be waited for to the deadline."""
-        most = RELAY_STALL_MOST if self.response.relaying else STALL_MOST
-        silent = 0.0 if self.exchange is not None and self.exchange.paused else monotonic() - self.heard
+        """Give up a response that stops half-way: it would be waited for until the deadline."""
+        most = RELAY_STALL_TIMEOUT if self.response.relaying else RESPONSE_STALL_TIMEOUT
+        silent = 0.0 if self.exchange is not None and self.exchange.paused else monotonic() - self.last_read
         if silent >= most:
-            self.stalled = None
+            self.read_stall = None
             self.connection_broken()
             return
-        self.stalled = self.pool.loop.call_later(most - silent, self._watch_for_stall)
+        self.read_stall = self.pool.loop.call_later(most - silent, self._watch_for_stall)
 
     def _relay(self) -> bool:
-        """Pass on what has come of an answer that is not held; False if nobody takes it."""
+        """Pass on what has come of a response that is not buffered; False if nobody takes it."""
         relay = self.exchange.relay if self.exchange is not None else None
         response = self.response
         if relay is None:
@@ -183,13 +188,14 @@
         return True
 
     def eof_received(self) -> None:
+        """Take the end of the stream for the end of a response that nothing else delimits."""
         if self.exchange is not None and self.response.end():
-            self._finish()  # a process that dies resets its connections: this one has ended in order
+            self._finish()  # a process that dies resets its connections, so this is an orderly end
         else:
             self.connection_broken()
 
     def connection_broken(self) -> None:
-        """The connection is of no more use; what was on it has no whole answer."""
+        """Close it; the exchange on it, if any, has ended without a complete response."""
         exchange, self.exchange = self.exchange, None
         never_ran = self.unwritten
         self.close()
@@ -199,9 +205,9 @@
     # Requests
 
     def send(self, exchange: Exchange) -> bool:
-        """Write an exchange, which `Upstreams._put` has judged; False if the connection was found dead."""
-        # Guards against the race with a server that closes an idle connection: its end may have come
-        # while the loop was busy, and a request written after it would count as one that may have run.
+        """Write an exchange that may be sent; False if the connection was found dead, with nothing sent."""
+        # A server may have closed an idle connection while the loop was busy. A request written after that
+        # would count as one that may have run.
         if not self.stream.is_quiet():
             return False
         body = exchange.body
@@ -209,8 +215,8 @@
         payload = exchange.head() if body is None else exchange.head() + framed(body)
         if not self.stream.begin(payload):
             return False
-        self.response.start(exchange.answer_most, may_relay=exchange.relay is not None)
-        self.heard = 0.0
+        self.response.start(exchange.response_limit, may_relay=exchange.relay is not None)
+        self.last_read = 0.0
         self.exchange = exchange
         exchange.connection = self
         if body is not None and not body.complete:
@@ -220,7 +226,7 @@
         return True
 
     def _upload(self, body: Body) -> None:
-        """Pass the rest of a body on as it comes."""
+        """Send the rest of a body as it comes."""
         self.uploading = body
         self.chunking = body.length is None
         body.flow(self)
@@ -233,28 +239,29 @@
         exchange, response = self.exchange, self.response.complete
         assert exchange is not None and response is not None
         self.exchange = None
-        self.hold_back(False)
-        self._let_go()
+        self.pause_response(False)
+        self._release_response()
         if self.response.keep_alive and not self.unwritten and not self.response.surplus:
             self.pool.keep(self)
         else:
             self.close()
         exchange.end(classify(response), response)
 
-    def _let_go(self) -> None:
-        """Of what an answer took while it came."""
-        if self.stalled is not None:
-            self.stalled.cancel()
-            self.stalled = None
-        self._no_patience()
+    def _release_response(self) -> None:
+        """Stop the timers of the exchange, and release the response's memory."""
+        if self.read_stall is not None:
+            self.read_stall.cancel()
+            self.read_stall = None
+        self._stop_write_stall()
         self.response.release()
 
     def close(self) -> None:
+        """Close at once: nothing is sent or received after this call."""
         if self.closed:
             return
         self.closed = True
         self.pool.dropped(self)
-        self._let_go()
+        self._release_response()
         if self.uploading is not None:
             self.uploading.drop()
         self.stream.close()
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -216,7 +216,7 @@
             sock = socket.create_connection((HOST, sidecar.port))
             sock.sendall(message("order"))
             await stage.held()
-            original = sidecar.upstreams._put
+            original = sidecar.upstreams._try_send
 
             def put(connection, exchange):
                 # The crossing: the end is in the system, and the loop has had no turn to read it.
@@ -228,7 +228,7 @@
                     sock.close()
                 return original(connection, exchange)
 
-            sidecar.upstreams._put = put
+            sidecar.upstreams._try_send = put
             stage.loop.open.set()
             await until(lambda: not stage.engine.held and not stage.engine.attempts)
             await asyncio.sleep(0)
@@ -416,7 +416,7 @@
         pool.start(1, exchange, WAIT)
         peer, _ = await loop.sock_accept(server)
         await loop.sock_recv(peer, 1 << 20)
-        await until(lambda: exchange.late is not None and exchange.late.when() < loop.time())
+        await until(lambda: exchange.write_timer is not None and exchange.write_timer.when() < loop.time())
         await asyncio.sleep(0)
         assert not exchange.ended
         await loop.sock_sendall(peer, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -129,7 +129,7 @@
         _, end = start(pool)
         assert latest.exchange is not None
         await end
-        pool.targets[1].idle[0].idle_since -= 60.0 * upstream.IDLE_PART
+        pool.targets[1].idle[0].idle_since -= 60.0 * upstream.IDLE_TIMEOUT_SHARE
         pool.sweep()
         assert len(pool.targets[1].idle) == 2 and latest in pool.targets[1].idle
         pool.close()
@@ -374,7 +374,7 @@
 )
 def test_a_spoilt_answer_is_a_reset_at_once_and_its_connection_is_closed(spoilt, monkeypatch):
     """Guards requests against waiting to their deadline at a connection that stays open and is of no use."""
-    monkeypatch.setattr(upstream_connection, "STALL_MOST", 0.2)
+    monkeypatch.setattr(upstream_connection, "RESPONSE_STALL_TIMEOUT", 0.2)
 
     async def play():
         async def act(message, reader, writer):
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -329,7 +329,7 @@
             sock.setblocking(False)
             await loop.sock_connect(sock, (HOST, sidecar.port))
             await loop.sock_sendall(sock, message("order", "ab"))
-            await until(lambda: any(c.held_back for c in sidecar.upstreams.connections))
+            await until(lambda: any(c.response_paused for c in sidecar.upstreams.connections))
             (client,) = sidecar.http.clients.all
             assert client.transport.get_write_buffer_size() < MB
             assert sidecar.engine.memory.held < MB
