Take X-Not-Run as proof only from a whole response that doesn't contradict itself

Change (http/response.py): all values of X-Not-Run have to be 1, one of them in the final head; a trailer can only contradict. What more bytes follow proves nothing. Several lines of Transfer-Encoding count together. A refusal with no length is whole at the end of the stream.

--- a/ochreflow/http/response.py
+++ b/ochreflow/http/response.py
@@ -19,6 +19,8 @@
 HEADERS_MOST = 32 * 1024  # bytes of a response's head and of all its framing
 RELAY_MOST = 40 * 1024 * 1024  # of the body of a response that is relayed; messages reach 32 MB
 FRAMING_MOST = 8  # bytes on the socket for each one of a body, in the smallest of chunks
+REFUSALS = (503, 504)  # the codes with which a server may say that it did not run the request
+TRUE = b"1"  # the value of the header that says so
 HOP_BY_HOP = frozenset(
     (
         b"connection",
@@ -50,7 +52,7 @@
     """What a response proves. Only the header proves that a request never ran, not the code alone."""
     if response.code == 200:
         return Status.OK
-    if response.code in (503, 504) and response.not_run:
+    if response.code in REFUSALS and response.not_run:
         return Status.FULL
     return Status.ERROR
 
@@ -82,7 +84,7 @@
         self._in_body = False
         self._length = b""
         self._encoding = b""
-        self._not_run = False
+        self._not_run: set[bytes] = set()  # the values of the header that says so
         self._load = b""
         self._until_end = False  # only the connection's end delimits it
         self.keep_alive = False
@@ -98,7 +100,7 @@
             if self.complete is None:
                 self.invalid = True
             else:
-                self.surplus = True
+                self._note_surplus()
         if self.complete is None and self._size > self._size_limit():
             self.invalid = True  # guards against an endless response filling the memory
 
@@ -145,6 +147,17 @@
             return HEADERS_MOST
         return HEADERS_MOST + (RELAY_MOST * FRAMING_MOST if self._may_relay else self._buffer_limit)
 
+    @property
+    def _says_not_run(self) -> bool:
+        """Whether the server says so without contradicting itself."""
+        return self._not_run == {TRUE}
+
+    def _note_surplus(self) -> None:
+        """More has come after the complete response: one of the two belongs to another request."""
+        assert self.complete is not None
+        self.surplus = True
+        self.complete.not_run = False
+
     def _release_memory(self) -> None:
         self._memory.release(self._reserved)
         self._reserved = 0
@@ -153,20 +166,23 @@
 
     def on_message_begin(self) -> None:
         if self.complete is not None:
-            self.surplus = True
+            self._note_surplus()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.complete is not None:
             return
         low, value = name.lower(), value.strip(b" \t")
         if low == b"x-not-run":
-            self._not_run = value == b"1"
+            if not self._in_body or value != TRUE:  # a trailer can contradict the head, but proves nothing
+                self._not_run.add(value)
+        elif self._in_body:
+            return  # another trailer
         elif low == b"x-load":
             self._load = value
         elif low == b"content-length":
             self._length = value
         elif low == b"transfer-encoding":
-            self._encoding = value
+            self._encoding = self._encoding + b", " + value if self._encoding else value
         elif low not in HOP_BY_HOP:
             self._headers.append((name, value))
 
@@ -181,10 +197,10 @@
             self.invalid = self._encoding.lower() != b"chunked"
         elif self._length:
             self.invalid = not self._length.isdigit() or int(self._length) > most
-        elif code != 200:
-            self._complete()  # the head says all; its body has no end but the connection's
+        elif code == 200 or (code in REFUSALS and self._says_not_run):
+            self._until_end = True  # only a whole response is of use to a client, or proves anything
         else:
-            self._until_end = True
+            self._complete()  # the head says all; its body has no end but the connection's
 
     def on_body(self, data: bytes) -> None:
         if self.complete is not None or self.invalid:
@@ -213,4 +229,4 @@
         self.complete = self._response(b"" if self.relaying else b"".join(self._body))
 
     def _response(self, body: bytes) -> Response:
-        return Response(self._parser.get_status_code(), self._headers, body, self._not_run, self._load)
+        return Response(self._parser.get_status_code(), self._headers, body, self._says_not_run, self._load)
--- /dev/null
+++ b/tests/test_response_proof.py
@@ -0,0 +1,163 @@
+"""What proves that a server never ran a request, and what does not.
+
+A request that must not be repeated may be sent again, or refused with an invitation to come again, only on
+proof. Each test forces one response through a real socket, and counts the copies that reach any server.
+"""
+
+import contextlib
+
+import pytest
+from net_helpers import (
+    Fake,
+    Sidecar,
+    answer_ok,
+    ask,
+    config,
+    entry,
+    message,
+    news,
+    reply,
+    reset,
+    run,
+)
+
+from ochreflow.core.limits import MB, Memory
+from ochreflow.http import upstream_connection
+from ochreflow.http.response import ResponseParser, classify
+from ochreflow.policy.interface import Status
+
+HEAD = b"HTTP/1.1 503 Full\r\n"
+NOT_RUN = b"X-Not-Run: 1\r\n"
+EMPTY = b"Content-Length: 0\r\n\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+BODY_AND_END = b"4\r\nfull\r\n0\r\n"
+REFUSAL = HEAD + NOT_RUN + EMPTY
+INVITES_REPEAT = (429, 503)
+
+
+def stay(writer):
+    """Leave the connection open."""
+
+
+def close(writer):
+    writer.close()
+
+
+# Each proves nothing: the bytes, and what its server does after them.
+NO_PROOF = {
+    "trailer": (HEAD + CHUNKED + BODY_AND_END + NOT_RUN + b"\r\n", stay),
+    "trailer over the same name in the head": (
+        HEAD + b"X-Not-Run: 0\r\n" + CHUNKED + BODY_AND_END + NOT_RUN + b"\r\n",
+        stay,
+    ),
+    "trailer against the head": (
+        HEAD + NOT_RUN + CHUNKED + BODY_AND_END + b"X-Not-Run: 0\r\n\r\n",
+        stay,
+    ),
+    "interim response": (b"HTTP/1.1 103 Early\r\n" + NOT_RUN + b"\r\n" + HEAD + EMPTY, stay),
+    "0 then 1": (HEAD + b"X-Not-Run: 0\r\n" + NOT_RUN + EMPTY, stay),
+    "1 then 0": (HEAD + NOT_RUN + b"X-Not-Run: 0\r\n" + EMPTY, stay),
+    "list of 1 and 0": (HEAD + b"X-Not-Run: 1, 0\r\n" + EMPTY, stay),
+    "no value": (HEAD + b"X-Not-Run:\r\n" + EMPTY, stay),
+    "folded line": (HEAD + b"X-Not-Run: 0\r\n 1\r\n" + EMPTY, stay),
+    "500": (b"HTTP/1.1 500 Error\r\n" + NOT_RUN + EMPTY, stay),
+    "429": (b"HTTP/1.1 429 Slow\r\n" + NOT_RUN + EMPTY, stay),
+    "head cut short, end": (HEAD + NOT_RUN + b"Content-Length: 0\r\n", close),
+    "head cut short, reset": (HEAD + NOT_RUN + b"Content-Length: 0\r\n", reset),
+    "head cut short, silence": (HEAD + NOT_RUN + b"Content-Length: 0\r\n", stay),
+    "body shorter than told": (HEAD + NOT_RUN + b"Content-Length: 9\r\n\r\nfull", close),
+    "chunks without their end": (HEAD + NOT_RUN + CHUNKED + b"4\r\nfull\r\n", close),
+    "two lengths": (HEAD + NOT_RUN + b"Content-Length: 0\r\nContent-Length: 4\r\n\r\nfull", stay),
+    "length, then chunks": (
+        HEAD + NOT_RUN + b"Content-Length: 4\r\n" + CHUNKED + BODY_AND_END + b"\r\n",
+        stay,
+    ),
+    "chunks, then length": (
+        HEAD + NOT_RUN + b"Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n" + BODY_AND_END + b"\r\n",
+        stay,
+    ),
+    "two encodings": (
+        HEAD + NOT_RUN + b"Transfer-Encoding: gzip\r\n" + CHUNKED + BODY_AND_END + b"\r\n",
+        stay,
+    ),
+    "another response after it": (REFUSAL + reply(200, b"served"), stay),
+    "other bytes after it": (REFUSAL + b"full", stay),
+    "no length, reset": (HEAD + NOT_RUN + b"\r\nfull", reset),
+    "no length, silence": (HEAD + NOT_RUN + b"\r\nfull", stay),
+}
+
+PROOF = {
+    "503": (REFUSAL, stay),
+    "504": (b"HTTP/1.1 504 Late\r\n" + NOT_RUN + EMPTY, stay),
+    "twice the same": (HEAD + NOT_RUN + NOT_RUN + EMPTY, stay),
+    "chunks": (HEAD + NOT_RUN + CHUNKED + BODY_AND_END + b"\r\n", stay),
+    "chunks and another trailer": (HEAD + NOT_RUN + CHUNKED + BODY_AND_END + b"X-Sum: 0\r\n\r\n", stay),
+    "after an interim response": (b"HTTP/1.1 103 Early\r\nX-Not-Run: 0\r\n\r\n" + REFUSAL, stay),
+    "closes": (HEAD + NOT_RUN + b"Connection: close\r\n" + EMPTY, close),
+    "no length, end": (HEAD + NOT_RUN + b"\r\nfull", close),
+}
+
+
+def first_says(data, then):
+    """A server whose first request meets these bytes, and every other one is served."""
+    seen = []
+
+    async def act(message, reader, writer):
+        seen.append(message)
+        if len(seen) > 1:
+            await answer_ok(message, reader, writer)
+            return
+        writer.write(data)
+        await writer.drain()
+        then(writer)
+        with contextlib.suppress(OSError):
+            await reader.read()
+
+    return act
+
+
+async def ask_once(tmp_path, cls, data, then):
+    """The answer to one request before two servers, the first of which says this, and the copies made."""
+    act = first_says(data, then)
+    servers = [await Fake(act).start() for _ in range(2)]
+    listed = news(1, *(entry(f"s{n}", server.address) for n, server in enumerate(servers)))
+    async with Sidecar(tmp_path / "c", config(listed)) as sidecar:
+        got = await ask(sidecar.port, message(cls, "ab"))
+    return got, sum(len(server.got) for server in servers)
+
+
+@pytest.mark.parametrize("case", NO_PROOF)
+def test_an_unsafe_request_is_neither_repeated_nor_refused_without_proof(tmp_path, monkeypatch, case):
+    """Guards rule `duplicate`: the request may have run."""
+    monkeypatch.setattr(upstream_connection, "RESPONSE_STALL_TIMEOUT", 0.2)
+    got, copies = run(ask_once(tmp_path, "order", *NO_PROOF[case]))
+    assert copies == 1
+    assert got.code >= 500 and got.code not in INVITES_REPEAT
+
+
+@pytest.mark.parametrize("cls", ["lookup", "hold", "order"])
+@pytest.mark.parametrize("case", PROOF)
+def test_any_request_is_repeated_on_proof(tmp_path, case, cls):
+    got, copies = run(ask_once(tmp_path, cls, *PROOF[case]))
+    assert (got.code, copies) == (200, 2)
+
+
+def parse(pieces, ended):
+    """What the parser makes of a response that comes in these pieces; None if it is not complete."""
+    parser = ResponseParser(Memory(64 * MB))
+    parser.start(64 * 1024, may_relay=False)
+    for piece in pieces:
+        if parser.complete is None and not parser.invalid:
+            parser.feed(piece)
+    if ended and parser.complete is None:
+        parser.end()
+    return None if parser.complete is None or parser.invalid else classify(parser.complete)
+
+
+@pytest.mark.parametrize("case", [case for case in NO_PROOF | PROOF if "after it" not in case])
+def test_a_proof_does_not_depend_on_how_the_bytes_come(case):
+    data, then = (NO_PROOF | PROOF)[case]
+    proven = case in PROOF
+    for size in (1, 2, 7, len(data)):
+        pieces = [data[at : at + size] for at in range(0, len(data), size)]
+        assert (parse(pieces, then is close) is Status.FULL) == proven, size
