Hold each repeat against the group and the time in which the first copy was sent

Cause: Rules.write_by (policy/rules.py) compared the cell and the zone of the Server record of an earlier attempt as they are now. Fleet.take and Server.restart (policy/fleet.py, policy/records.py) change that record in place, so once a list had moved the server of the first copy, the repeat of a keyed request went to the new group, which knows nothing of that copy. Found with it: Balancer._on_uploaded moved the start of the window to the last byte of the body; Balancer._on_outcome let a second outcome of an attempt turn "may have run" into "never ran", and planned a repeat on the outcome of an attempt that was never decided; Balancer._send noted the attempt before Pace.allows, so a fault there left the numbers of attempts in the module and in the core out of step.

Change: attempts are typed records (records.Attempt) that keep zone and cell as they were at the decision, renewed in the turn of the first byte, and the time of the decision, from which the window runs. Open.settle takes one end for each attempt. The attempt and its Send are noted together. RequestClass is frozen, so a request is judged by its class as it was when it was taken.

--- a/ochreflow/policy/fleet.py
+++ b/ochreflow/policy/fleet.py
@@ -25,11 +25,10 @@
         self.near: list[Server] = []  # ready and not ejected, in the own zone
         self.far: list[Server] = []
         self.ejected: list[Server] = []
-        self.ready_count = 0
         self.inflight = 0  # own attempts out, but for those at ejected servers
         self.rest: list[Server] = []  # those that are not sampled from
         self.sees_little = True
-        self.set_size = 0
+        self.ready_count = self.set_size = 0
         self.stands_for = [1.0, 1.0]  # ready servers near and far for each one sampled
         self.demand, self.demand_at, self.began = 0.0, 0, 0  # own requests a second; since the first one
         self.watching = False
--- a/ochreflow/policy/health.py
+++ b/ochreflow/policy/health.py
@@ -31,12 +31,8 @@
 
 class Health:
     def __init__(self, ctx: Context, limit: Limit, pick: Picker, ejects: Callable[[Server], None]) -> None:
-        self.ctx = ctx
-        self.latency = limit.latency
-        self.limit = limit
-        self.pick = pick
-        self.fleet = pick.fleet
-        self.rules = pick.rules
+        self.ctx, self.limit, self.pick = ctx, limit, pick
+        self.latency, self.fleet, self.rules = limit.latency, pick.fleet, pick.rules
         self.ejects = ejects  # told of a server that has just been ejected
         self.since_trial = TRIAL_EVERY  # own requests
         self.has_safe = any(spec.effect is Effect.SAFE for spec in ctx.settings.classes)
--- a/ochreflow/policy/interface.py
+++ b/ochreflow/policy/interface.py
@@ -52,8 +52,10 @@
     FAILED = 3  # a call failed or the subscription broke; no entries
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class RequestClass:
+    """Never changed: requests are judged by their class as it was when they were taken."""
+
     name: str
     objective_ns: int
     deadline_ns: int
--- a/ochreflow/policy/latency.py
+++ b/ochreflow/policy/latency.py
@@ -37,9 +37,8 @@
         self.rate_at = self.ctx.now
 
     def learn_usual(self, cls: int, took: int, pressed: bool) -> None:
-        known = self.seen[cls]
-        if known < USUAL_FIRST:
-            step = 1.0 / (known + 1)
+        if self.seen[cls] < USUAL_FIRST:
+            step = 1.0 / (self.seen[cls] + 1)
         else:
             step = min((self.ctx.now - self.usual_at[cls]) / (USUAL_SPAN * self.ctx.shortest), 0.1)
             if pressed:
--- a/ochreflow/policy/limit.py
+++ b/ochreflow/policy/limit.py
@@ -45,10 +45,7 @@
 
 class Limit:
     def __init__(self, ctx: Context, latency: Latencies, shares: Shares, fleet: Fleet) -> None:
-        self.ctx = ctx
-        self.latency = latency
-        self.shares = shares
-        self.fleet = fleet
+        self.ctx, self.latency, self.shares, self.fleet = ctx, latency, shares, fleet
         self.try_span = [0.0] * len(latency.base)  # how long clients wait for one try
         self.pressure = PRESSURE_PRIOR
         self.press_sum = self.press_count = 0.0
--- a/ochreflow/policy/logic.py
+++ b/ochreflow/policy/logic.py
@@ -18,7 +18,7 @@
 from .limit import Limit
 from .pace import Pace
 from .pick import Picker
-from .records import MAY_HAVE_RUN, NEVER_RAN, OUT, OVERDUE, REPEAT, UNWRITTEN, WATCH, Context, Open, Server
+from .records import OUT, OVERDUE, REPEAT, WATCH, Attempt, Context, Open, Server
 from .repeats import Repeats
 from .rules import Rules
 from .shares import Shares
@@ -27,7 +27,6 @@
 RETRY_AFTER_LEAST = 0.5  # of it after jitter, lest refused clients come back together
 
 AGAIN = 1 << 16  # marks the timers of attempts that were overdue before
-PROVES_NOT_RUN = UNWRITTEN | {Status.FULL}
 
 
 class Balancer:
@@ -60,8 +59,7 @@
     def handle(self, now_ns: int, event: Event) -> list[Action]:
         """Take one event at the given time; return what to do, in order."""
         ctx = self.ctx
-        ctx.now = now_ns
-        ctx.actions = []
+        ctx.now, ctx.actions = now_ns, []
         self.handlers[type(event)](event)
         if ctx.timers and (not self.timer_armed or ctx.timers[0][0] < self.timer_armed):
             self.timer_armed = ctx.timers[0][0]
@@ -72,8 +70,12 @@
     def write_by(self, now_ns: int, ident: int, number: int) -> int:
         """Until when an attempt's last byte may go out, judged anew as its first one is to; 0: it may not."""
         self.ctx.now = now_ns
-        req = self.open.get(ident)
-        return self.rules.write_by(req, req.attempts[number][0], number) if req is not None else 0
+        if (req := self.open.get(ident)) is None:
+            return 0
+        server = req.attempts[number].server
+        # It may have moved since the decision.
+        req.attempts[number] = req.attempts[number]._replace(zone=server.zone, cell=server.cell)
+        return self.rules.write_by(req, server, number)
 
     def _on_request(self, event: Request) -> None:
         spec = self.ctx.settings.classes[event.cls]
@@ -110,12 +112,11 @@
             self.health.learn(server, self.ctx.now, req.cls, event, False)  # before its body was through
         elif server and req.streaming and event.status is Status.RESET:
             self.health.strike(server, 1.0, EJECT_SHARE)  # it began to answer, and broke
-        if event.attempt < len(req.attempts):
-            proven = event.status in PROVES_NOT_RUN
-            req.attempts[event.attempt][2] = NEVER_RAN if proven else MAY_HAVE_RUN
-            req.written |= event.status not in UNWRITTEN
+        settled = req.settle(event.attempt, event.status)
         if event.final:
             self._forget(req)
+        elif not settled:
+            return
         elif event.status is Status.ERROR:
             self._end(req)  # a plain error is an answer: the design does not repeat it
         elif not req.planned:
@@ -144,9 +145,9 @@
         if req is None or not req.uploading:
             return
         req.uploading, req.deadline = False, event.deadline_ns
-        attempt = req.attempts[-1]
-        attempt[1] = self.ctx.now
-        if (server := self.fleet.servers.get(attempt[0].id)) and server is attempt[0]:  # else it has left
+        attempt = req.attempts[-1] = req.attempts[-1]._replace(sent=self.ctx.now)
+        server = attempt.server
+        if self.fleet.servers.get(server.id) is server:  # else it has left
             self._count_out(req, server, len(req.attempts) - 1)
 
     def _on_probe(self, event: api.ProbeResult) -> None:
@@ -174,13 +175,14 @@
 
     def _send(self, req: Open, server: Server) -> None:
         number = len(req.attempts)
-        req.attempts.append([server, self.ctx.now, OUT])
-        req.charged = False
-        if server.ejected:
-            server.trial_out = True
         self.pace.allows(server, req.cls, True)
+        # Both or, where something fails, neither: else its number means another attempt to whoever sends it.
+        req.attempts.append(Attempt(server, server.zone, server.cell, self.ctx.now, self.ctx.now))
         # No time-out of its own: an overdue attempt is judged by what its server did meanwhile.
         self.ctx.actions.append(api.Send(req.id, server.id))
+        req.charged = False
+        if server.ejected:
+            server.trial_out = True
         if not req.uploading:  # else its server has no work with it before the body is through
             self._count_out(req, server, number)
 
@@ -230,7 +232,7 @@
 
     def _cancel_others(self, req: Open, keep: int) -> None:
         for number, attempt in enumerate(req.attempts):
-            if attempt[2] == OUT and number != keep and self.ctx.settings.can_cancel:
+            if attempt.state == OUT and number != keep and self.ctx.settings.can_cancel:
                 self.ctx.actions.append(api.Cancel(req.id, number))
 
     def _overdue(self, req: Open, number: int) -> None:
@@ -240,7 +242,7 @@
         would not shorten, or all is slow, which it would make worse; and silence may be little traffic.
         """
         first, number = number < AGAIN, number % AGAIN
-        server, sent, state = req.attempts[number]
+        server, _, _, _, sent, state = req.attempts[number]
         if state != OUT:
             return
         silent = server.last_ok <= sent
--- a/ochreflow/policy/pick.py
+++ b/ochreflow/policy/pick.py
@@ -24,10 +24,7 @@
 
 class Picker:
     def __init__(self, ctx: Context, latency: Latencies, fleet: Fleet, rules: Rules) -> None:
-        self.ctx = ctx
-        self.latency = latency
-        self.fleet = fleet
-        self.rules = rules
+        self.ctx, self.latency, self.fleet, self.rules = ctx, latency, fleet, rules
         self.groups: defaultdict[tuple[int, bool], Group] = defaultdict(Group)
         self.mean_rel = 1.0
         columns = ctx.settings.report_columns
@@ -90,7 +87,7 @@
 
     def pick(self, req: Open) -> Server | None:
         """Two sampled of the own zone against two sampled of the others, which pay for the crossing."""
-        tried = {attempt[0] for attempt in req.attempts}
+        tried = {attempt.server for attempt in req.attempts}
         for avoided in (tried, ()) if tried else ((),):
             best, lowest = None, 0.0
             for server, extra in self.sampled(req, avoided):
--- a/ochreflow/policy/records.py
+++ b/ochreflow/policy/records.py
@@ -2,12 +2,14 @@
 
 import heapq
 import random
+from typing import NamedTuple
 
 from .interface import Action, Endpoint, Log, Request, RequestClass, Settings, State, Status
 
 SECOND = 1_000_000_000
 OUT, NEVER_RAN, MAY_HAVE_RUN = range(3)
 UNWRITTEN = frozenset((Status.CONNECT_FAILED, Status.MOOT))  # ends of attempts that cost no server any work
+PROVES_NOT_RUN = UNWRITTEN | {Status.FULL}
 OVERDUE, REPEAT, WATCH = range(3)  # kinds of timers
 UNSENT_MOST = 0.45  # of a request's time may pass with nothing sent, while another try is still of use
 
@@ -18,11 +20,10 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.random = random.Random(seed)
-        self.now = 0
+        self.now = self.log_at = 0
         self.actions: list[Action] = []
         self.timers: list[tuple[int, int, int, int]] = []
         self.shortest = min(spec.deadline_ns for spec in settings.classes)
-        self.log_at = 0
 
     def at(self, due: int, kind: int, ident: int = 0, attempt: int = 0) -> None:
         heapq.heappush(self.timers, (due, kind, ident, attempt))
@@ -59,9 +60,8 @@
         self.answers = True  # whether the latest news of it was an answer, if only an error
         self.load, self.load_at = 0.0, 0  # requests held, as last reported, and when
         self.unit = 0.0  # smoothed latency for each request held, in class means; 0: not known
-        self.strikes = 0.0
+        self.strikes, self.ejections, self.trial_at = 0.0, 0, 0
         self.ejected = self.trial_out = False
-        self.ejections = self.trial_at = 0
         self.cold_tokens, self.cold_at = 0.0, 0
         self.carried = 0.0  # answered since the last tally, in requests of mean work
 
@@ -71,26 +71,33 @@
 
     def __init__(self) -> None:
         self.rel = 1.0  # smoothed latency, in class means
-        self.samples = 0
+        self.samples = self.reports = 0
         self.load = 0.0  # mean of what is reported
         self.unit = 1.0
-        self.reports = 0
         self.lean = 0.0  # logarithm of the weight with which its servers are sampled
 
 
+class Attempt(NamedTuple):
+    """One attempt. Lists move servers to other groups: it may have run in the one that it was sent to."""
+
+    server: Server
+    zone: int  # of its server when its first byte went out, as far as that is known
+    cell: int
+    decided: int  # ns: its window runs from here
+    sent: int  # ns: the same, or when the body that was still coming was through
+    state: int = OUT
+
+
 class Open:
     """A request that is owed an answer."""
 
     def __init__(self, request: Request, spec: RequestClass, now: int) -> None:
-        self.id = request.id
-        self.cls = request.cls
-        self.tenant = request.tenant
-        self.spec = spec
+        self.id, self.cls, self.tenant, self.spec = request.id, request.cls, request.tenant, spec
         self.deadline = request.deadline_ns
         self.send_by = now + int(UNSENT_MOST * (self.deadline - now))
         self.written = False  # some attempt has reached a server
         self.age = 0  # since the client's first try, as far as is known
-        self.attempts: list[list] = []  # [server, sent, state], by number
+        self.attempts: list[Attempt] = []  # by number
         self.repeats = 0  # delays waited so far
         self.charged = False  # the next repeat has been paid for
         self.planned = False  # a repeat waits in the timer heap
@@ -98,9 +105,18 @@
         self.uploading = request.uploading  # its body still comes: no server works on it yet
         self.spent = False  # its body can't be brought again
 
+    def settle(self, number: int, status: Status) -> bool:
+        """Take an attempt's one end; False for one that has ended before or was never decided."""
+        if number >= len(self.attempts) or self.attempts[number].state != OUT:
+            return False
+        state = NEVER_RAN if status in PROVES_NOT_RUN else MAY_HAVE_RUN
+        self.attempts[number] = self.attempts[number]._replace(state=state)
+        self.written |= status not in UNWRITTEN
+        return True
+
     def any_out(self) -> bool:
-        return any(attempt[2] == OUT for attempt in self.attempts)
+        return any(attempt.state == OUT for attempt in self.attempts)
 
     def never_ran(self) -> bool:
         """Whether each attempt is proven not to have run; one still out may have."""
-        return all(attempt[2] == NEVER_RAN for attempt in self.attempts)
+        return all(attempt.state == NEVER_RAN for attempt in self.attempts)
--- a/ochreflow/policy/repeats.py
+++ b/ochreflow/policy/repeats.py
@@ -17,9 +17,7 @@
 
 class Repeats:
     def __init__(self, ctx: Context, latency: Latencies, rules: Rules) -> None:
-        self.ctx = ctx
-        self.latency = latency
-        self.rules = rules
+        self.ctx, self.latency, self.rules = ctx, latency, rules
         self.tokens = RETRY_SHARE * RETRY_RESERVE
 
     def earn(self) -> None:
@@ -36,14 +34,13 @@
         ceiling = min(BACKOFF_CAP, BACKOFF_BASE * 2 ** min(req.repeats, BACKOFF_EXPONENT))
         delay = int(self.ctx.random.uniform(BACKOFF_FLOOR, ceiling) * left)
         req.repeats += 1
-        # What no server was asked is no repeat: one that starts with an old list had earned none.
-        paid = req.charged or not req.written
         price = REPEAT_FULL if req.never_ran() else 1.0
         useless = left <= 0 or delay + BACKOFF_USEFUL * self.latency.base[req.cls] > left
         useless |= not req.written and self.ctx.now + delay > req.send_by
         if useless or not self.rules.any_left(req):
             return None
-        if not paid:
+        # What no server was asked is no repeat: one that starts with an old list had earned none.
+        if req.written and not req.charged:
             if self.tokens < price:
                 return None
             self.tokens -= price  # when planned, or a lost server's attempts would all spend the last one
--- a/ochreflow/policy/rules.py
+++ b/ochreflow/policy/rules.py
@@ -23,10 +23,10 @@
         if not server.ready or not server.listed or req.streaming or req.spent:
             return 0
         spec = req.spec
-        for other, (at, _, state) in enumerate(req.attempts):
-            if other == number or state == NEVER_RAN:
+        for other, at in enumerate(req.attempts):
+            if other == number or at.state == NEVER_RAN:
                 continue
-            if spec.effect is Effect.UNSAFE or (state == OUT and not self.ctx.settings.second_copies):
+            if spec.effect is Effect.UNSAFE or (at.state == OUT and not self.ctx.settings.second_copies):
                 return 0
             apart = at.cell != server.cell if spec.scope is Scope.CELL else at.zone != server.zone
             if spec.effect is Effect.KEYED and spec.scope is not Scope.ALL and apart:
@@ -38,8 +38,8 @@
         """Until when servers drop a repeat of what may have run, by its first copy but for this one."""
         if req.spec.effect is not Effect.KEYED:
             return NO_END
-        sent = [one[1] for other, one in enumerate(req.attempts) if other != but and one[2] != NEVER_RAN]
-        return min(sent) + req.spec.window_ns - self.ctx.settings.tick_ns if sent else NO_END
+        begun = [one.decided for n, one in enumerate(req.attempts) if n != but and one.state != NEVER_RAN]
+        return min(begun) + req.spec.window_ns - self.ctx.settings.tick_ns if begun else NO_END
 
     def may_refuse(self, req: Open) -> bool:
         """Whether a refusal, which invites the client to try again, does no harm."""
--- /dev/null
+++ b/tests/duplicate_model.py
@@ -0,0 +1,482 @@
+"""The core with the decision module over a simulated loop, carrier and client, judged by rule `duplicate`.
+
+The model knows what was written to servers and what each server said; it shares no code with the program.
+"""
+
+import heapq
+import itertools
+from concurrent.futures import Future
+from dataclasses import dataclass, field
+
+from helpers import MS, SECOND, START
+
+from ochreflow.core.body import Body
+from ochreflow.core.engine import Engine
+from ochreflow.core.fleet import Listed, Names, News
+from ochreflow.core.limits import MB, Descriptors, Memory, Usage
+from ochreflow.core.ports import Call
+from ochreflow.core.stats import Disposition
+from ochreflow.policy.interface import Effect, Endpoint, RequestClass, Scope, Settings, State, Status
+
+CLASSES = {
+    "safe": (Effect.SAFE, Scope.ALL),
+    "keyed everywhere": (Effect.KEYED, Scope.ALL),
+    "keyed by zone": (Effect.KEYED, Scope.ZONE),
+    "keyed by cell": (Effect.KEYED, Scope.CELL),
+    "unsafe": (Effect.UNSAFE, Scope.ALL),
+}
+WINDOW = 900 * MS
+DEADLINE = 2 * SECOND
+ANSWER_SLACK = 20 * MS  # after its deadline a request counts as not answered
+
+
+class Handle:
+    """A timer of the simulated loop."""
+
+    def __init__(self, when, callback, args):
+        self.when, self.callback, self.args = when, callback, args
+        self.cancelled = False
+
+    def cancel(self):
+        self.cancelled = True
+
+
+class SimulatedLoop:
+    """Timers in simulated time. What a real loop reports of a callback that failed is kept in `failed`."""
+
+    def __init__(self):
+        self.now = START
+        self.timers = []
+        self.order = itertools.count()
+        self.failed = []
+
+    def create_future(self):
+        return Future()
+
+    def call_later(self, seconds, callback, *args):
+        handle = Handle(self.now + max(round(seconds * SECOND), 0), callback, args)
+        heapq.heappush(self.timers, (handle.when, next(self.order), handle))
+        return handle
+
+    def call_soon(self, callback, *args):
+        return self.call_later(0, callback, *args)
+
+    def due(self):
+        """The timers that are due by now, in their order."""
+        return [entry for entry in sorted(self.timers) if entry[0] <= self.now and not entry[2].cancelled]
+
+    def ring(self, entry):
+        """Run one timer, whatever its place is among those that are due."""
+        self.timers.remove(entry)
+        heapq.heapify(self.timers)
+        handle = entry[2]
+        try:
+            handle.callback(*handle.args)
+        except Exception as error:
+            self.failed.append(error)
+
+    def run_until(self, end):
+        """Run all timers up to a time, in order."""
+        while self.timers and self.timers[0][0] <= end:
+            entry = self.timers[0]
+            self.now = max(self.now, entry[0])
+            if entry[2].cancelled:
+                heapq.heappop(self.timers)
+            else:
+                self.ring(entry)
+        self.now = max(self.now, end)
+
+
+@dataclass(eq=False)
+class Copy:
+    """One copy of a request on its way to a server, as the model sees it."""
+
+    server: int
+    group: dict  # by scope, as the list said when its first byte went out
+    first_byte_at: int
+    whole: bool = False  # its last byte has been written
+    ended: bool = False
+    never_ran: bool = False  # by its server's word
+
+    @property
+    def may_have_run(self):
+        return self.whole and not self.never_ran
+
+
+@dataclass(eq=False)
+class Asked:
+    """A request as the model sees it."""
+
+    call: Call
+    spec: RequestClass
+    copies: list = field(default_factory=list)
+    verdicts: list = field(default_factory=list)
+    declined: bool = False
+    left: bool = False
+    flows: bool = False  # a server's answer has begun to reach the client
+
+    @property
+    def may_invite(self):
+        effect, scope = self.spec.effect, self.spec.scope
+        return effect is Effect.SAFE or (effect is Effect.KEYED and scope is Scope.ALL)
+
+
+class DuplicateRule:
+    """Judges each byte written and each final answer."""
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.asked = {}
+        self.groups = {}  # server -> its groups by scope, as last told
+        self.findings = []  # each break; not raised, since the engine outlives exceptions of whom it calls
+
+    def first_byte(self, now, call, server):
+        asked = self.asked[call.name]
+        copy = Copy(server, self.groups[server], now)
+        for other in asked.copies:
+            self._may_follow(now, asked, other, copy)
+        asked.copies.append(copy)
+        return copy
+
+    def _may_follow(self, now, asked, other, copy):
+        spec = asked.spec
+        if other.ended and not other.may_have_run:
+            return
+        what = f"{call_name(asked)}: {copy} after {other}"
+        if not other.ended and not self.settings.second_copies:
+            self.findings.append(f"two out: {what}")
+        if spec.effect is Effect.UNSAFE:
+            self.findings.append(f"unsafe: {what}")
+        if spec.effect is Effect.KEYED:
+            if spec.scope is not Scope.ALL and copy.group[spec.scope] != other.group[spec.scope]:
+                self.findings.append(f"another group: {what}")
+            if now >= other.first_byte_at + spec.window_ns:
+                self.findings.append(f"after the window: {what}")
+
+    def last_byte(self, now, call, copy):
+        asked = self.asked[call.name]
+        copy.whole = True
+        if asked.declined and not asked.may_invite:
+            self.findings.append(f"{call_name(asked)}: written after the client was invited to repeat")
+        for other in asked.copies:
+            if other is not copy:
+                self._may_follow(now, asked, other, copy)
+
+    def verdict(self, call, verdict):
+        asked = self.asked[call.name]
+        if asked.verdicts:
+            self.findings.append(f"{call_name(asked)}: answered twice")
+        asked.verdicts.append(verdict)
+        if verdict.disposition is not Disposition.DECLINED:
+            return
+        asked.declined = True
+        if not asked.may_invite and any(copy.may_have_run for copy in asked.copies):
+            self.findings.append(f"{call_name(asked)}: invited to repeat after {asked.copies}")
+
+    def at_the_end(self):
+        """All deadlines are over."""
+        for asked in self.asked.values():
+            if not asked.verdicts and not asked.left and not asked.flows:
+                self.findings.append(f"{call_name(asked)}: no answer, after {asked.copies}")
+        assert not self.findings, "\n".join(self.findings)
+
+
+def call_name(asked):
+    return f"request {asked.call.name} ({asked.spec.name})"
+
+
+class SimulatedCarriage:
+    """An attempt whose steps a test takes one by one."""
+
+    def __init__(self, carrier, server, call, watcher):
+        self.carrier, self.server, self.call, self.watcher = carrier, server, call, watcher
+        self.copy = None
+        self.may_run = False
+        self.timer = None
+        self.late = None
+
+    @property
+    def begun(self):
+        return self.copy is not None
+
+    @property
+    def over(self):
+        return self.watcher is None
+
+    def connect(self):
+        """Its connection is up: its first byte goes out, and its last one unless the socket is full."""
+        if self.over or self.begun:
+            return
+        within = self.watcher.write_within()
+        if within <= 0.0:
+            self.end(Status.MOOT)
+            return
+        self.copy = self.carrier.rule.first_byte(self.carrier.loop.now, self.call, self.server)
+        if within < float("inf"):
+            self.late = self.carrier.loop.call_later(within, self._too_late)
+        if not self.call.body.complete:
+            self.call.body.flow(self)
+        elif not self.carrier.blocked:
+            self.finish()
+
+    def finish(self):
+        """Its last byte goes out."""
+        if self.over or not self.begun or self.may_run or not self.call.body.complete:
+            return
+        if self.late is not None and self.late.when <= self.carrier.loop.now:
+            self._too_late()
+            return
+        self.may_run = True
+        self.carrier.rule.last_byte(self.carrier.loop.now, self.call, self.copy)
+        self.watcher.written()
+
+    def body_part(self, data):
+        pass
+
+    def body_end(self):
+        if not self.carrier.blocked:
+            self.finish()
+
+    def answer(self, status):
+        """Its server ends it. One that proves nothing may come before the request is whole."""
+        if self.over or not self.begun:
+            return
+        if status is Status.FULL:
+            self.copy.never_ran = True
+        if status is Status.RESET and not self.may_run:
+            status = Status.CONNECT_FAILED
+        self.end(status)
+
+    def begin(self):
+        """Its server's answer begins to flow."""
+        if self.over or not self.may_run:
+            return
+        if not self.watcher.begin(None, None):
+            self.give_up(Status.CANCELLED)
+
+    def fail_to_connect(self):
+        if not self.over and not self.begun:
+            self.end(Status.CONNECT_FAILED)
+
+    def _too_late(self):
+        if not self.over and not self.may_run:
+            self.end(Status.MOOT)
+
+    def wait(self, seconds):
+        self.wait_no_more()
+        if not self.over:
+            self.timer = self.carrier.loop.call_later(max(seconds, 0.001), self.give_up, Status.TIMEOUT)
+
+    def wait_no_more(self):
+        if self.timer is not None:
+            self.timer.cancel()
+
+    def pause(self, paused):
+        pass
+
+    def give_up(self, status):
+        if status is not Status.MOOT and not self.may_run:
+            status = Status.CONNECT_FAILED
+        self.end(status)
+
+    def end(self, status):
+        watcher, self.watcher = self.watcher, None
+        if watcher is None:
+            return
+        self.wait_no_more()
+        if self.late is not None:
+            self.late.cancel()
+        if self.copy is not None:
+            self.copy.ended = True
+        self.carrier.out.remove(self)
+        watcher.ended(status, "answer" if status is Status.OK else None, ())
+
+
+class SimulatedCarrier:
+    """Keeps the attempts that are out, in the order of their starts."""
+
+    def __init__(self, loop, rule):
+        self.loop, self.rule = loop, rule
+        self.out = []
+        self.states = {}
+        self.pooled = False  # a connection stands idle: attempts are written within their start
+        self.blocked = False  # the socket takes no last byte
+        self.starts_fail = None  # "before" or "after" the writing, for the next start
+        self.on_start = None
+
+    def start(self, server, call, timeout, watcher):
+        carriage = SimulatedCarriage(self, server, call, watcher)
+        self.out.append(carriage)
+        fails, self.starts_fail = self.starts_fail, None
+        if fails == "before":
+            raise RuntimeError("injected before anything was written")
+        if self.states.get(server) is not State.READY:
+            self.loop.call_soon(carriage.fail_to_connect)
+        elif self.pooled or fails == "after":
+            if timeout is not None:
+                carriage.wait(timeout)
+            self._connect_in_start(carriage)
+            if fails == "after":
+                raise RuntimeError("injected after it was written")
+        elif timeout is not None:
+            carriage.wait(timeout)
+        if self.on_start is not None:
+            self.on_start(carriage)
+        return carriage
+
+    def _connect_in_start(self, carriage):
+        """As `connect`, but its end is told later, never from within the start."""
+        within = carriage.watcher.write_within()
+        if within <= 0.0:
+            self.loop.call_soon(carriage.end, Status.MOOT)
+        else:
+            carriage.connect()
+
+    def probe(self, server, timeout, done):
+        pass
+
+    def update(self, server, address, since_ms, state):
+        self.states[server] = state
+        if state is not State.READY:
+            for carriage in [one for one in self.out if one.server == server and not one.begun]:
+                carriage.give_up(Status.CONNECT_FAILED)
+
+    def forget(self, server):
+        self.states.pop(server, None)
+
+    def close_idle(self, server):
+        pass
+
+    def sweep(self):
+        pass
+
+    def close(self):
+        pass
+
+
+class SimulatedClients:
+    """All clients, as a front and as the one who is owed."""
+
+    connected = 0
+
+    def __init__(self, rule):
+        self.rule = rule
+        self.gone_calls = set()
+
+    def verdict(self, call, verdict):
+        self.rule.verdict(call, verdict)
+
+    def gone(self, call):
+        return call.name in self.gone_calls
+
+    def begin(self, call, head, length, pause):
+        self.rule.asked[call.name].flows = True
+
+    def part(self, call, data):
+        pass
+
+    def end(self, call, whole):
+        self.rule.asked[call.name].verdicts.append(whole)
+
+    def stop_accepting(self):
+        pass
+
+    def close_quiet(self):
+        pass
+
+    def sweep(self):
+        pass
+
+    def close(self):
+        pass
+
+
+def simulated_settings(names, **more):
+    classes = [
+        RequestClass(name, 500 * MS, DEADLINE, 1.0, 0.2, *CLASSES[name], window_ns=WINDOW) for name in names
+    ]
+    values = {
+        "classes": classes,
+        "zones": ["a", "b"],
+        "max_attempts": 4,
+        "second_copies": True,
+        "can_cancel": True,
+        "start_capacity": 0.2,
+        "warm_within_ns": 10 * SECOND,
+        "retry_after": True,
+        "max_retry_after_ns": SECOND,
+    }
+    values.update(more)
+    return Settings(**values)
+
+
+class Stage:
+    """An engine over all of it, with servers 1 to `servers` in two zones and three cells."""
+
+    def __init__(self, classes=("unsafe",), servers=6, seed=1, **more):
+        self.settings = simulated_settings(classes, **more)
+        self.loop = SimulatedLoop()
+        self.rule = DuplicateRule(self.settings)
+        self.carrier = SimulatedCarrier(self.loop, self.rule)
+        self.clients = SimulatedClients(self.rule)
+        usage = Usage(Descriptors(1000), Memory(64 * MB))
+        self.engine = Engine(self.loop, self.settings, 1000, seed, usage, Names(["a", "b"], ["k"]))
+        self.engine.now = lambda: self.loop.now
+        self.door = self.engine.open_door("simulated", self.clients, self.carrier)
+        self.endpoints = {
+            number: Endpoint(number, number % 2, 0, number % 3, State.READY)
+            for number in range(1, servers + 1)
+        }
+        self.version = 0
+        self.names = itertools.count()
+        self.tell()
+
+    def tell(self):
+        """The list as it stands now, whole."""
+        self.version += 1
+        entries = []
+        for number, known in self.endpoints.items():
+            endpoint = Endpoint(
+                number, known.zone, known.kind, known.cell, known.state, 1.0, known.started_ns
+            )
+            since_ms = known.started_ns // MS
+            entries.append(Listed(f"s{number}", endpoint, ("host", number), since_ms))
+            self.engine.fleet.names.servers[f"s{number}"] = number
+            self.rule.groups[number] = {Scope.ZONE: known.zone, Scope.CELL: known.cell}
+        self.engine.on_news(News(self.version, True, entries))
+
+    def ask(self, cls=0, complete=True, name=None):
+        """A request comes; with `complete` false, its body goes on coming."""
+        name = next(self.names) if name is None else name
+        body = Body(self.engine.memory, None)
+        body.add(b"x")
+        if complete:
+            body.end()
+        spec = self.settings.classes[cls]
+        call = Call(name, cls, 0, 0, DEADLINE, self.loop.now + DEADLINE, 0, False, True, body)
+        self.rule.asked[name] = Asked(call, spec)
+        self.engine.take(self.door, self.clients, call)
+        return call
+
+    def end_body(self, call):
+        call.deadline_ns = self.loop.now + call.wait_ns
+        call.body.end()
+        self.engine.body_ended(call)
+
+    def leave(self, call):
+        self.rule.asked[call.name].left = True
+        self.clients.gone_calls.add(call.name)
+        call.body.drop()
+        self.engine.left(call)
+
+    def attempt(self, call, number=-1):
+        """Its carriage by its place among those of its request that are out."""
+        return [one for one in self.carrier.out if one.call is call][number]
+
+    def run(self, ns):
+        self.loop.run_until(self.loop.now + ns)
+
+    def finish(self):
+        """Let all time pass that anyone may wait."""
+        self.run(DEADLINE + ANSWER_SLACK)
+        self.rule.at_the_end()
--- /dev/null
+++ b/tests/test_duplicate_copies.py
@@ -0,0 +1,230 @@
+"""Rule `duplicate` in the decision module: what later copies are held against, and what ends prove.
+
+Each crossing is forced. A copy counts in the group, at the time and in the class in which it was sent.
+"""
+
+from dataclasses import FrozenInstanceError
+
+import pytest
+from duplicate_model import WINDOW, Stage
+from helpers import MS, SECOND, kinds, make, play_timers, send_one
+
+from ochreflow.core.stats import Disposition
+from ochreflow.policy.interface import (
+    Dropped,
+    Effect,
+    ListKind,
+    Membership,
+    Outcome,
+    Refuse,
+    Request,
+    Scope,
+    Send,
+    Status,
+    StreamStarted,
+    Uploaded,
+)
+
+AFTER = 300 * MS  # enough for a repeat that is allowed to be planned and sent
+
+
+def dispositions(stage, call):
+    return [verdict.disposition for verdict in stage.rule.asked[call.name].verdicts]
+
+
+def copies(stage, call):
+    return stage.rule.asked[call.name].copies
+
+
+# Keyed classes: the group and the window of the first copy
+
+
+def moved(stage, server, how):
+    """The list moves a server to another zone and cell, in place or with a restart."""
+    known = stage.endpoints[server]
+    known.zone, known.cell = 1 - known.zone, (known.cell + 1) % 3
+    if how == "restart":
+        known.started_ns = stage.loop.now
+    stage.tell()
+
+
+@pytest.mark.parametrize("how", ["in place", "restart"])
+@pytest.mark.parametrize("cls", ["keyed by zone", "keyed by cell"])
+@pytest.mark.parametrize("seed", range(6))
+def test_a_repeat_goes_to_the_group_in_which_the_first_copy_ran(cls, how, seed):
+    """The server of the first copy has gone over to another group since: that group knows nothing of it."""
+    stage = Stage([cls], servers=12, seed=seed)
+    call = stage.ask()
+    carriage = stage.attempt(call)
+    carriage.connect()
+    moved(stage, carriage.server, how)
+    stage.carrier.pooled = True
+    carriage.answer(Status.RESET)
+    stage.run(AFTER)
+    assert len(copies(stage, call)) > 1
+    stage.finish()
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_first_copy_that_began_after_its_server_moved_ran_in_the_new_group(seed):
+    stage = Stage(["keyed by cell"], servers=12, seed=seed)
+    call = stage.ask()
+    carriage = stage.attempt(call)
+    moved(stage, carriage.server, "in place")
+    carriage.connect()
+    stage.carrier.pooled = True
+    carriage.answer(Status.RESET)
+    stage.run(AFTER)
+    assert len(copies(stage, call)) > 1
+    stage.finish()
+
+
+def test_the_window_of_a_request_whose_body_was_still_coming_runs_from_its_first_byte():
+    """Its last byte went out late: servers that count from its beginning have forgotten it sooner."""
+    stage = Stage(["keyed everywhere"], warm_within_ns=0)
+    call = stage.ask(complete=False)
+    stage.end_body(call)
+    stage.carrier.blocked = True
+    carriage = stage.attempt(call)
+    carriage.connect()
+    stage.run(WINDOW - 100 * MS)
+    carriage.finish()
+    stage.carrier.blocked = False
+    stage.carrier.pooled = True
+    stage.run(200 * MS)
+    carriage.answer(Status.RESET)
+    stage.finish()
+
+
+@pytest.mark.parametrize("unproven", [Status.TIMEOUT, Status.RESET, Status.CANCELLED])
+def test_a_first_copy_that_may_have_run_bounds_all_later_ones_by_its_window(unproven):
+    """Whatever ends in between: attempts proven not to have run move no window."""
+    balancer, now = make(effect=Effect.KEYED, scope=Scope.ALL, max_attempts=9, second_copies=False)
+    sent = send_one(balancer, now, 1, 20 * SECOND)
+    first = now
+    actions = balancer.handle(now + MS, Outcome(1, 0, sent.server, unproven, MS, False))
+    when = now + MS
+    for number in range(1, 9):
+        later = [
+            one for one in play_timers(balancer, when, actions, when + SECOND) if isinstance(one[1], Send)
+        ]
+        if not later:
+            break
+        when, again = later[0]
+        assert when < first + 4 * SECOND
+        actions = balancer.handle(when + MS, Outcome(1, number, again.server, Status.FULL, MS, False))
+        when += MS
+    open_request = balancer.open.get(1)
+    if open_request is not None:
+        server = next(iter(balancer.fleet.servers.values()))
+        balancer.ctx.now = first + 4 * SECOND
+        assert not balancer.rules.may_send(open_request, server)
+
+
+# The class as it was when the request was taken
+
+
+def test_a_class_is_never_changed_in_place():
+    spec = Stage().settings.classes[0]
+    with pytest.raises(FrozenInstanceError):
+        spec.effect = Effect.SAFE
+
+
+def test_a_request_is_judged_by_its_class_as_it_was_taken():
+    """A table in which its class is safe does not free what was taken while it was unsafe."""
+    stage = Stage()
+    call = stage.ask()
+    stage.attempt(call).connect()
+    stage.engine.balancer.ctx.settings.classes[0] = Stage(["safe"]).settings.classes[0]
+    stage.carrier.pooled = True
+    stage.attempt(call).answer(Status.RESET)
+    stage.finish()
+    assert dispositions(stage, call) == [Disposition.ABORTED]
+    assert len(copies(stage, call)) == 1
+
+
+# What ends prove
+
+
+@pytest.mark.parametrize("second", [Status.CONNECT_FAILED, Status.MOOT, Status.FULL])
+def test_a_second_outcome_of_an_attempt_takes_nothing_back(second):
+    balancer, now = make(effect=Effect.KEYED, scope=Scope.CELL, entries=None)
+    sent = send_one(balancer, now, 1)
+    balancer.handle(now, Outcome(1, 0, sent.server, Status.RESET, MS, False))
+    actions = balancer.handle(now, Outcome(1, 0, sent.server, second, MS, False))
+    assert not balancer.open[1].never_ran()
+    assert not kinds(actions, Refuse)
+
+
+def test_an_outcome_of_an_attempt_that_was_never_decided_sends_nothing():
+    balancer, now = make(effect=Effect.UNSAFE)
+    send_one(balancer, now, 1)
+    actions = balancer.handle(now, Outcome(1, 5, 100, Status.CONNECT_FAILED, MS, False))
+    done = actions + [action for _, action in play_timers(balancer, now, actions, now + 3 * SECOND)]
+    assert not kinds(done, Send, Refuse)
+
+
+@pytest.mark.parametrize("status", list(Status))
+def test_an_outcome_after_a_drop_sends_nothing(status):
+    balancer, now = make(effect=Effect.UNSAFE)
+    sent = send_one(balancer, now, 1)
+    balancer.handle(now, Dropped(1))
+    actions = balancer.handle(now, Outcome(1, 0, sent.server, status, MS, False))
+    done = actions + [action for _, action in play_timers(balancer, now, actions, now + 3 * SECOND)]
+    assert not kinds(done, Send, Refuse)
+
+
+@pytest.mark.parametrize("status", list(Status))
+def test_nothing_follows_an_answer_that_has_begun_whatever_its_end(status):
+    balancer, now = make(effect=Effect.UNSAFE)
+    sent = send_one(balancer, now, 1)
+    balancer.handle(now, StreamStarted(1, 0, sent.server, MS))
+    actions = balancer.handle(now, Outcome(1, 0, sent.server, status, MS, False))
+    done = actions + [action for _, action in play_timers(balancer, now, actions, now + 3 * SECOND)]
+    assert not kinds(done, Send)
+
+
+def test_an_upload_that_is_through_is_counted_from_the_attempt_that_made_it():
+    balancer, now = make(effect=Effect.UNSAFE)
+    actions = balancer.handle(now, Request(1, 0, 0, now + 2 * SECOND, uploading=True))
+    first = kinds(actions, Send)[0]
+    actions = balancer.handle(now, Outcome(1, 0, first.server, Status.CONNECT_FAILED, MS, False))
+    (when, second), *_ = [
+        one for one in play_timers(balancer, now, actions, now + SECOND) if isinstance(one[1], Send)
+    ]
+    balancer.handle(when, Uploaded(1, when + 2 * SECOND))
+    assert (1, 1) in balancer.fleet.servers[second.server].out
+    actions = balancer.handle(when, Outcome(1, 1, second.server, Status.RESET, MS, False))
+    assert not kinds(actions, Refuse, Send)
+
+
+def test_a_drained_list_does_not_free_a_request_that_may_have_run():
+    balancer, now = make(effect=Effect.UNSAFE)
+    sent = send_one(balancer, now, 1)
+    gone = balancer.fleet.servers[sent.server]
+    balancer.handle(now, Membership(ListKind.FULL, 2, []))
+    assert gone.ready and not gone.listed and gone.id in balancer.fleet.servers
+    actions = balancer.handle(now, Outcome(1, 0, sent.server, Status.RESET, MS, False))
+    assert not kinds(actions, Send, Refuse)
+
+
+# A fault as an attempt is decided
+
+
+def test_a_fault_as_an_attempt_is_decided_leaves_the_numbers_of_attempts_in_step(monkeypatch):
+    stage = Stage(["keyed by cell"])
+    balancer = stage.engine.balancer
+    allows = balancer.pace.allows
+
+    def fail_to_take(server, cls, take):
+        if take:
+            monkeypatch.setattr(balancer.pace, "allows", allows)
+            raise RuntimeError("injected")
+        return allows(server, cls, take)
+
+    monkeypatch.setattr(balancer.pace, "allows", fail_to_take)
+    call = stage.ask()
+    held = next(iter(stage.engine.held.values()))
+    assert held.attempts == len(balancer.open[held.id].attempts)
+    stage.finish()
+    assert len(dispositions(stage, call)) == 1
