Take what may have been written for run, whatever fails on the way

Cause: the core (core/engine.py) took an attempt without a carriage for one with nothing written. Engine._send left it so when Carrier.start failed, also after the last byte; _guard then told the module MOOT, which proves that it never ran, and answered 503, as did the last answers on SIGTERM. end_attempt took a second end of an attempt, and an end as never sent after `written` had been told: an unsafe request was then sent again. body_broken passed on a refusal whatever had been written. take refused a request in a drain, or after the last answers, before it looked at its name, so one whose first copy was still out was invited to come again. One carriage whose give_up failed kept all others from their last answer. After a fault at the entry of Balancer.handle, post carried out the actions of the event before once more; the first byte was barred, the attempt was not.

Change: an attempt notes that its first byte was allowed and that its last one has gone out. A start that fails with no first byte allowed ends at once, and may not begin any more; any other one is still out until its carrier or the last guard ends it. Only the first end counts, and none proves that an attempt never ran once it was written whole. Refusals of broken bodies and in drains ask what may have run. Giving up ends an attempt whatever its carrier does.

--- a/ochreflow/core/engine.py
+++ b/ochreflow/core/engine.py
@@ -33,7 +33,8 @@
 GUARD_MARGIN_NS = 8 * MS  # ... and a request that then still has no answer gets one
 PROBE_TIMEOUT = 0.4  # seconds
 SWEEP_EVERY = 0.1
-NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)  # ends that prove it
+UNWRITTEN = (Status.CONNECT_FAILED, Status.MOOT)  # ends of attempts whose last byte was never written
+NEVER_RAN = (Status.FULL, *UNWRITTEN)  # ends that prove it
 
 
 class Clock:
@@ -60,7 +61,18 @@
 class Attempt:
     """One attempt, from its start to its one end. Its carrier tells it what becomes of it."""
 
-    __slots__ = ("answered_ns", "carriage", "engine", "held", "number", "sent_ns", "server", "timeout_ns")
+    __slots__ = (
+        "answered_ns",
+        "carriage",
+        "engine",
+        "held",
+        "let_begin",
+        "number",
+        "sent_ns",
+        "server",
+        "timeout_ns",
+        "whole",
+    )
 
     def __init__(
         self, engine: Engine, held: Held, number: int, server: int, sent_ns: int, timeout_ns: int
@@ -72,15 +84,32 @@
         self.sent_ns = sent_ns  # when it began: for a body that was still coming, when that was through
         self.timeout_ns = timeout_ns  # from its start, as the module has it; 0: what its request has left
         self.answered_ns = 0  # when its answer began to go on to the client
-        self.carriage: Carriage | None = None  # None: it failed while it was being made
+        self.carriage: Carriage | None = None  # None: it is being made, or failed meanwhile
+        self.let_begin = False  # its first byte may have gone out
+        self.whole = False  # its last byte has
+
+    @property
+    def over(self) -> bool:
+        """Whether its end has been told."""
+        return self.engine.attempts.get((self.held.id, self.number)) is not self
+
+    @property
+    def may_run(self) -> bool:
+        """Whether its server may have all of it, as far as is known before its end."""
+        if self.carriage is None:
+            return self.let_begin
+        return self.whole or self.carriage.may_run
 
     def write_within(self) -> float:
-        return self.engine.write_within(self.held, self)
+        within = 0.0 if self.over else self.engine.write_within(self.held, self)
+        self.let_begin = self.let_begin or within > 0.0
+        return within
 
     def time_left(self) -> int:
         return self.engine.time_left(self.held, self)
 
     def written(self) -> None:
+        self.whole = True
         self.engine.stats.forwarded()
         if self.held.uploading:
             self.engine.uploaded(self.held, self)
@@ -180,6 +209,7 @@
         try:
             while self.events:
                 event = self.events.popleft()
+                self.balancer.ctx.actions = []  # else a fault would have those of an earlier event done again
                 try:
                     actions = self.balancer.handle(self.now(), event)
                 except Exception:
@@ -253,9 +283,10 @@
 
     def take(self, door: Door, owed_to: Owed, call: Call) -> None:
         """Take a request: from here on it is owed one final answer, which may come within this call."""
-        if self.lifecycle.turns_away:
+        if self.lifecycle.turns_away and call.name not in door.names.used:
             self._turn_away(door, owed_to, call, Disposition.DECLINED, Reason.DRAINING)
             return
+        # Guards servers against a second copy, here or elsewhere: a request of this name may still run.
         if not door.names.claim(call.name):
             self._turn_away(door, owed_to, call, Disposition.ABORTED, Reason.NAME_IN_USE)
             return
@@ -298,12 +329,15 @@
                 attempt.carriage.wait(left / SECOND)
 
     def body_broken(self, call: Call, disposition: Disposition, detail: object = None) -> None:
-        """A request that was taken before its body had come will never be whole: it can't have run."""
+        """The body of a request that was taken before can't be read to its end."""
         held = self.held.get(call.ticket)
         if held is None:
             return
         if held.relaying is None:
-            self._finish(held, Verdict(disposition, Reason.BROKEN, detail=detail))
+            verdict = Verdict(disposition, Reason.BROKEN, detail=detail)
+            if disposition is Disposition.DECLINED and self._may_have_run(held):
+                verdict = Verdict(Disposition.ABORTED, Reason.DECIDED)
+            self._finish(held, verdict)
         self._abandon(held)
         self.post(api.Dropped(held.id))
 
@@ -347,23 +381,35 @@
         numbers = range(held.attempts)
         return [self.attempts[held.id, n] for n in numbers if (held.id, n) in self.attempts]
 
+    def _may_have_run(self, held: Held) -> bool:
+        """Whether any server may have run it, by ends and by what is still out."""
+        return held.may_have_run or any(attempt.may_run for attempt in self._out(held))
+
+    def _give_up(self, attempt: Attempt, status: Status) -> None:
+        """End an attempt within this call, whatever becomes of its carrier."""
+        if attempt.carriage is not None:
+            try:
+                attempt.carriage.give_up(status)
+            except Exception:
+                self.fault("an attempt could not be given up")
+        if not attempt.over:  # its carrier failed: whatever may have begun may have run
+            end = status if attempt.let_begin else Status.MOOT
+            self.end_attempt(attempt.held, attempt, end, None, ())
+
     def _abandon(self, held: Held) -> None:
         """Give up what is out for a request whose client or body is gone."""
         for attempt in self._out(held):
             carriage = attempt.carriage
             # What is written in part is cut, so that it can't run any more.
             if carriage is not None and (not carriage.may_run or held.relaying is attempt):
-                carriage.give_up(Status.CANCELLED)
+                self._give_up(attempt, Status.CANCELLED)
 
     def _guard(self, held: Held) -> None:
         """Time is up: whatever the module still plans, the client gets its answer now."""
         if not held.owed or held.relaying is not None:
             return
         for attempt in self._out(held):
-            if attempt.carriage is not None:
-                attempt.carriage.give_up(Status.TIMEOUT)
-            else:  # it failed while it was being made, with nothing written
-                self.end_attempt(held, attempt, Status.MOOT, None, ())
+            self._give_up(attempt, Status.TIMEOUT)
         if held.owed:
             disposition = Disposition.ABORTED if held.may_have_run else Disposition.DECLINED
             self._finish(held, Verdict(disposition, Reason.OUT_OF_TIME))
@@ -385,10 +431,9 @@
             held.timer.cancel()
         # Guards servers against a request without its body, which goes with the answer: what still waits
         # for a connection is not sent any more.
-        for number in range(held.attempts):
-            attempt = self.attempts.get((held.id, number))
-            if attempt is not None and attempt.carriage is not None and not attempt.carriage.begun:
-                attempt.carriage.give_up(Status.CANCELLED)
+        for attempt in self._out(held):
+            if attempt.carriage is not None and not attempt.carriage.begun:
+                self._give_up(attempt, Status.CANCELLED)
 
     def _decided(self, ident: int, verdict: Verdict) -> None:
         held = self.held.get(ident)
@@ -411,7 +456,13 @@
             self.end_attempt(held, attempt, Status.MOOT, None, ())
             return
         timeout = wait / SECOND if call.body.complete else None
-        attempt.carriage = held.door.carrier.start(action.server, call, timeout, attempt)
+        try:
+            attempt.carriage = held.door.carrier.start(action.server, call, timeout, attempt)
+        except Exception:
+            self.fault("an attempt could not be started")
+            if not attempt.let_begin:
+                self.end_attempt(held, attempt, Status.MOOT, None, ())
+            # Else it may run: its end is still told by its carrier, or by the last guard.
 
     def time_left(self, held: Held, attempt: Attempt) -> int:
         """What is left to an attempt at this instant: see `Watcher.time_left`.
@@ -432,6 +483,8 @@
         call, now = held.call, self.now()
         if not held.owed or (call.body.complete and now >= call.deadline_ns - ATTEMPT_MARGIN_NS):
             return 0.0
+        if call.body.spent:  # another attempt has taken it, and the module may not know
+            return 0.0
         if held.owed_to.gone(call):
             return 0.0
         try:
@@ -467,7 +520,11 @@
         self, held: Held, attempt: Attempt, status: Status, answer: object, report: tuple[float, ...]
     ) -> None:
         """An attempt has ended: a served answer reaches the client, the module hears of all."""
-        self.attempts.pop((held.id, attempt.number), None)
+        if attempt.over:
+            return  # only the first end counts, whatever a carrier that failed tells
+        del self.attempts[held.id, attempt.number]
+        if attempt.whole and status in UNWRITTEN:
+            status = Status.RESET  # what was told before is the truth: it may have run
         if status not in NEVER_RAN:
             held.may_have_run = True
         if log.debugging:
@@ -500,7 +557,7 @@
     def _cancel(self, action: api.Cancel) -> None:
         attempt = self.attempts.get((action.id, action.attempt))
         if attempt is not None and attempt.carriage is not None:
-            attempt.carriage.give_up(Status.CANCELLED)
+            self._give_up(attempt, Status.CANCELLED)
 
     def _probe(self, action: api.Probe) -> None:
         server, started = action.server, self.now()
@@ -539,7 +596,11 @@
 
     def _answer_all(self) -> None:
         for held in list(self.held.values()):
-            self._guard(held)
+            try:
+                self._guard(held)
+            except Exception:
+                # Guards the answers to all others: they would end with the process, without a word.
+                self.fault("a request could not be answered")
 
     # What operators ask and order
 
