Close a client's connection only once its machine has its answers

A close that crosses bytes from the client resets the connection, and a reset throws away what its machine has not got: whole answers, and the beginning of one that breaks off. The client then sends a request again that has run. The end of a connection is made in stages now, as RFC 9112 9.6 has it: the own sending ends, what comes is left unread, and it closes when the client does or takes nothing for `LINGER`. A resting connection is quiet only when its client has all of its answers, and one that is not is no candidate to make room. An answer that its framing delimits ends without a reset; one that only the end delimits is always reset.

Found beside it: an answer without a length to a slow HTTP/1.0 client ended as if it were whole, and `_leave` never gave back the memory of the bodies that waited behind a last answer (3000 bytes held for ever in the test).

--- a/ochreflow/http/clients.py
+++ b/ochreflow/http/clients.py
@@ -48,6 +48,9 @@
     @property
     def quiet(self) -> bool: ...
 
+    @property
+    def lingering(self) -> bool: ...
+
     @property
     def host(self) -> str: ...
 
@@ -84,7 +87,8 @@
 
 
 class Clients:
-    """Every connection is in `waited` while a message is owed, in `idle` when nothing is, or in neither.
+    """Every connection is in `waited` while a message is owed, in `idle` when nothing is, in `lingering` when
+    only its client's close is waited for, or in none of them.
 
     Those in `waited` are in `heard` too, by their latest byte. All are in the order of time, so that
     looking after them costs nothing for those that are in time.
@@ -99,6 +103,7 @@
         self.waited: dict[Client, float] = {}
         self.heard: dict[Client, float] = {}
         self.idle: dict[Client, float] = {}
+        self.lingering: dict[Client, None] = {}
         self.let_in: set[Client] = set()  # by the gate, and not added yet
         descriptors.waiting.append(self.give_way)
 
@@ -144,13 +149,19 @@
     def _forget(self, client: Client) -> None:
         for places in (self.waited, self.heard, self.idle):
             places.pop(client, None)
+        self.lingering.pop(client, None)
 
     def place(self, client: Client) -> None:
         """Note what a connection does now: after it was read, and after an answer."""
         self.idle.pop(client, None)
         if client not in self.all:
             return
-        if client.begun:
+        if client.lingering:
+            self._forget(client)
+            self.lingering[client] = None
+            if client.asked:
+                self._owes_nothing(client)
+        elif client.begun:
             if client.head_ended:
                 client.head_ended = False
                 self.waited.pop(client, None)  # a body has a time of its own
@@ -165,10 +176,14 @@
             self.heard.pop(client, None)
             if client.idle:
                 self.idle[client] = monotonic()
-            if self.gate is not None:
-                self.gate.half_written(monotonic(), client, False)
-                if client.idle:
-                    self.gate.completed(monotonic(), client)
+            self._owes_nothing(client)
+
+    def _owes_nothing(self, client: Client) -> None:
+        """Tell the gate that its messages have come to their end."""
+        if self.gate is not None:
+            self.gate.half_written(monotonic(), client, False)
+            if client.idle:
+                self.gate.completed(monotonic(), client)
 
     def _too_many(self, gate: Gate, now: float, client: Client) -> None:
         """A message has begun: its address may owe too many of them, and the oldest goes."""
@@ -180,13 +195,17 @@
     def _one_to_leave(self, new: Client) -> Client:
         """Guards the usual clients, slow ones too, against those that connect by hundreds and say nothing.
 
-        First goes who owes a message and has long sent no byte of it; then, where many have sent nothing
-        at all, one of these; then who was answered longest ago and can come again.
+        First goes who has had the last answer and only does not close; then who owes a message and has long
+        sent no byte of it; then, where many have sent nothing at all, one of these; then who was answered
+        longest ago and can come again.
         """
         now = monotonic()
         if self.gate is not None:
-            could = [one for one in self.all if not one.serving and (one in self.heard or one.quiet)]
+            could = [one for one in self.all if self._can_go(one)]
             return self.gate.first_to_go(now, could or [new])
+        lingering = next((client for client in self.lingering if not client.serving), None)
+        if lingering is not None:
+            return lingering
         owing = [client for client in self.heard if not client.serving]  # the new one at the latest
         if self.heard[owing[0]] <= now - STALE:
             return owing[0]
@@ -218,7 +237,17 @@
     def _could_go(self) -> Iterable[Client]:
         """Those that wait for nothing, the oldest first."""
         quiet = (one for one in self.idle if one.quiet)
-        return chain(quiet, (one for one in self.heard if not one.serving))
+        return chain(
+            (one for one in self.lingering if not one.serving),
+            quiet,
+            (one for one in self.heard if not one.serving),
+        )
+
+    def _can_go(self, client: Client) -> bool:
+        """Whether it is one of those that wait for nothing."""
+        if client in self.heard or client.lingering:
+            return not client.serving
+        return client.quiet
 
     def _let_go(self, most: int) -> int:
         """Close up to so many that wait for nothing; how many they were."""
@@ -260,8 +289,7 @@
                 self._forget(client)
                 client.expire()
         for client in _since(self.idle, now - self.times.idle):
-            if client.quiet:
-                client.close()
+            client.expire()
 
     def close_quiet(self) -> None:
         """Close every connection on which nothing is open, has begun or waits to be read.
--- a/ochreflow/http/connection.py
+++ b/ochreflow/http/connection.py
@@ -26,7 +26,7 @@
 HEADERS_MOST = 32 * 1024
 FRAMING_MOST = 8  # bytes on the socket for each one of a body, in the smallest of chunks
 WAITING_MOST = 16  # requests that a client may send ahead of their answers before it is read no further
-LINGER = 2.0  # seconds in which a rejected client may still send, unheard, and read why
+LINGER = 2.0  # seconds in which a client may take nothing more of its last answers, and not close either
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -73,7 +73,6 @@
 
     chunked: bool
     keep_alive: bool
-    by_end: bool  # only the connection's end delimits it
     pause: Pause  # tells its source to hold back
 
 
@@ -152,7 +151,8 @@
         self.was_paused = False  # since `Clients` last looked
         self.unread = False  # the client leaves answers unread
         self.slow: StallTimer | None = None
-        self.linger: asyncio.TimerHandle | None = None
+        self.linger: StallTimer | None = None  # sending has ended: it closes as soon as its client does
+        self.end_delimits = False  # only its end delimits the answer that was last begun
         self.head_ended = False  # since `Clients` last looked
         self.looked_at = 0  # size of the body when `Clients` last looked
         self.asked = False  # whether it has ever sent a whole message
@@ -183,15 +183,36 @@
     @property
     def serving(self) -> bool:
         """Whether its client is owed an answer, or the rest of one that it has not read yet."""
-        return self.current is not None or bool(self.waiting) or self.unread
+        return self.current is not None or bool(self.waiting) or not self.delivered
 
     @property
-    def quiet(self) -> bool:
-        """Whether nothing has begun either, not even in what the system holds unread."""
+    def delivered(self) -> bool:
+        """Whether the client's machine has all that was written to it.
+
+        Until then a close may take it away: one that crosses bytes from the client resets the connection, and
+        the system throws away what it has not passed on.
+        """
+        if self.closed or self.transport is None or not self.asked:
+            return True
+        return unacknowledged(self.transport) == 0
+
+    @property
+    def lingering(self) -> bool:
+        """Whether its sending has ended, and only its client's close is waited for."""
+        return self.linger is not None
+
+    @property
+    def nothing_begun(self) -> bool:
+        """Whether its client owes no part of a message, not even in what the system holds unread."""
         if not self.idle or self.begun or self.closed or self.transport is None:
             return False
         return unread(self.transport) == 0
 
+    @property
+    def quiet(self) -> bool:
+        """Whether it can be closed at once: nothing has begun, and its client has all of its answers."""
+        return self.nothing_begun and self.delivered
+
     @property
     def host(self) -> str:
         """Where its client is; empty where that can't be told."""
@@ -251,12 +272,14 @@
         self.clients.place(self)
 
     def expire(self) -> None:
-        """Its message has not come to an end in time; what it was taken for before is answered first."""
+        """Its next message has not come to an end in time; what was taken before it is answered first."""
         if self.begun:
             self._reject(408, "the request took too long to come")
             self._pump()
         elif self.quiet:
             self.close()
+        elif self.nothing_begun:
+            self._leave()  # what its client has not taken yet keeps the time that it needs
 
     def eof_received(self) -> None:
         self.close()
@@ -266,7 +289,7 @@
         if self.slow is not None:
             self.slow.stop()
         if self.linger is not None:
-            self.linger.cancel()
+            self.linger.stop()
         self.engine.memory.release(self.held_size)
         self.held_size = 0
         call, self.current = self.current, None
@@ -516,8 +539,9 @@
         assert isinstance(head, Answer)
         headers = _lines(head)
         chunked = length is None and not current.old
-        keep_alive = self._keeps(current.keep_alive) and (length is not None or chunked)
-        self.passing = Passing(chunked, keep_alive, length is None and not chunked, pause)
+        self.end_delimits = length is None and not chunked
+        keep_alive = self._keeps(current.keep_alive) and not self.end_delimits
+        self.passing = Passing(chunked, keep_alive, pause)
         if chunked:
             headers += b"Transfer-Encoding: chunked\r\n"
         elif length is not None:
@@ -546,11 +570,13 @@
         self.clients.place(self)
 
     def _break_off(self) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            # A reset: the end alone would look like a whole answer where nothing else delimits it.
-            sock = self.transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            self.close()
+        """Close after a part of an answer, so that its client sees that it is not whole."""
+        if self.end_delimits:
+            self._reset()
+        else:
+            # Its framing tells. A reset would take away what went before it, and its own beginning: a client
+            # that has read nothing of an answer sends its request again.
+            self._end_sending()
 
     def _let_go(self, call: HttpCall) -> None:
         """Of what was held of a request; what still comes of it is read and thrown away."""
@@ -574,21 +600,65 @@
         """Close once what was written has gone, in a way that lets the client read it."""
         if self.transport is None or self.transport.is_closing():
             return
-        self.waiting.clear()
-        if self.deaf:
-            # Guards an early answer such as 413 against being lost: closing with input unread resets.
-            self.transport.write_eof()
-            self.linger = self.linger or self.engine.loop.call_later(LINGER, self.close)
-        elif self.skipping and self.begun:
+        self._drop_waiting()
+        if not self.deaf and self.skipping and self.begun:
             self.ending = True
         else:
-            self.deaf = True
-            self.transport.close()
+            self._end_sending()
+
+    def _drop_waiting(self) -> None:
+        """Let go of the requests that are not taken up any more."""
+        for item in self.waiting:
+            if isinstance(item, HttpCall):
+                item.body.drop()
+        self.waiting.clear()
+
+    def _end_sending(self) -> None:
+        """End the own sending, and close when the client does.
+
+        Guards the last answers against being lost: closing with input unread resets the connection. The rest
+        of a message that was answered before its end is read and thrown away, or its client might never come
+        to read. What else a client sends is left unread: it was never taken, so it can be sent again.
+        """
+        if self.transport is None or self.transport.is_closing() or self.linger is not None:
+            return
+        rest_comes = self.deaf or (self.skipping and self.begun)
+        self.deaf = True
+        if rest_comes:
+            self.shared.hangups.remove(self.transport)
+            self.transport.resume_reading()
+        else:
+            self.transport.pause_reading()
+            self.shared.hangups.add(self.transport, self.close_if_gone)
+        self.transport.write_eof()
+        self._linger()
+        self.clients.place(self)
+
+    def _linger(self) -> None:
+        assert self.transport is not None
+        waiting = partial(unacknowledged, self.transport)
+        self.linger = StallTimer(self.engine.loop, waiting, LINGER, self._linger_no_more)
+
+    def _linger_no_more(self) -> None:
+        if self.unread:
+            self._linger()  # a client that is slow to read has a time of its own
+        else:
+            self.close()
 
     def _write(self, data: bytes) -> None:
-        if self.transport is not None and not self.transport.is_closing():
+        if self.transport is not None and not self.transport.is_closing() and self.linger is None:
             self.transport.write(data)
 
     def close(self) -> None:
-        if self.transport is not None:
+        """Close at once: what its client's machine has not got of its answers may be lost."""
+        if self.end_delimits and (self.passing is not None or self.unread):
+            self._reset()  # the end alone would look like that of a whole answer
+        elif self.transport is not None:
             self.transport.abort()
+
+    def _reset(self) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        sock = self.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.transport.abort()
--- /dev/null
+++ b/tests/test_read_then_closed.py
@@ -0,0 +1,370 @@
+"""A request that was read is answered before its connection closes, and its answer reaches the client.
+
+A client whose connection closes without an answer sends its request once more. That is harmless only where
+the first one was never read: each crossing of a close with bytes that arrive is forced here.
+"""
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+
+import pytest
+from httptools import HttpRequestParser
+from leaving import Server, connect, front_of
+from net_helpers import (
+    HOST,
+    WAIT,
+    Fake,
+    Sidecar,
+    answer_ok,
+    ask,
+    config,
+    entry,
+    message,
+    news,
+    reply,
+    run,
+    until,
+)
+
+from ochreflow.core.body import HOLD_MOST
+from ochreflow.http import connection
+from ochreflow.http.connection import ClientConnection
+from ochreflow.http.progress import unacknowledged
+
+LONG = b"a" * (HOLD_MOST * 3 // 4)  # an answer that is held until it is whole
+NARROW = 4096  # bytes that a client's machine takes before its application reads
+
+
+def connect_narrow(port):
+    """A client whose machine takes little: the rest of an answer stays with the sidecar's."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, NARROW)
+    sock.connect((HOST, port))
+    return sock
+
+
+async def receive(sock, enough=lambda data: False):
+    """What a client reads until it is enough, or until the end; and whether the end was a reset."""
+    sock.setblocking(False)
+    data = b""
+    try:
+        async with asyncio.timeout(WAIT):
+            while not enough(data):
+                piece = await asyncio.get_running_loop().sock_recv(sock, 1 << 16)
+                if not piece:
+                    return data, False
+                data += piece
+    except ConnectionResetError:
+        return data, True
+    return data, False
+
+
+def whole(body):
+    """Whether an answer with this body has come."""
+    return lambda data: data.endswith(body)
+
+
+async def answer_long(message, reader, writer):
+    writer.write(reply(200, LONG))
+
+
+def ids(fake):
+    return [got.headers["x-request-id"] for got in fake.got]
+
+
+@asynccontextmanager
+async def sidecar_before(path, *peers):
+    known = news(1, *(entry(f"s{n}", peer.address) for n, peer in enumerate(peers)))
+    async with Sidecar(path / "c", config(known)) as sidecar:
+        yield sidecar
+
+
+def send_after_look(monkeypatch, sock, data):
+    """Have bytes arrive right after it was found that none wait to be read."""
+    looked = connection.unread
+
+    def look(transport):
+        count = looked(transport)
+        if transport.get_extra_info("peername") == sock.getsockname() and not sent:
+            sent.append(data)
+            sock.sendall(data)
+        return count
+
+    sent = []
+    monkeypatch.setattr(connection, "unread", look)
+
+
+def close_by(sidecar, path):
+    """Have a resting connection closed."""
+    clients = sidecar.http.clients
+    if path == "idle":
+        clients.times.idle = 0.0
+        clients.sweep()
+    elif path == "drain":
+        sidecar.http.close_quiet()
+    else:
+        clients.give_way()
+
+
+CLOSES = ["idle", "drain", "descriptors"]
+
+
+# What arrives in the turn of a close
+
+
+@pytest.mark.parametrize("path", CLOSES)
+def test_a_request_that_crosses_the_close_of_a_resting_connection_is_not_read(tmp_path, monkeypatch, path):
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with sidecar_before(tmp_path, fake) as sidecar:
+            client = connect(sidecar.port)
+            client.sendall(message("order", "first"))
+            await receive(client, whole(b"served "))
+            front = front_of(sidecar, client)
+            await until(lambda: unacknowledged(front.transport) == 0)
+            send_after_look(monkeypatch, client, message("order", "crossing"))
+            close_by(sidecar, path)
+            assert front.transport.is_closing()
+            data, _ = await receive(client)
+            assert data == b"" and ids(fake) == ["first"]
+            assert (await ask(sidecar.port, message("order", "crossing"))).code == 200
+            assert ids(fake) == ["first", "crossing"]
+            client.close()
+
+    run(play())
+
+
+def test_a_connection_that_is_closed_in_the_poll_that_finds_it_readable_is_not_read(tmp_path, monkeypatch):
+    """Two clients' requests are found by one poll: whichever is read first closes the other."""
+    received = ClientConnection.data_received
+    read = []
+
+    def close_others(front, data):
+        read.append(front)
+        for other in list(front.clients.all):
+            if other is not front:
+                other.close()
+        received(front, data)
+
+    monkeypatch.setattr(ClientConnection, "data_received", close_others)
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with sidecar_before(tmp_path, fake) as sidecar:
+            socks = [connect(sidecar.port) for _ in range(2)]
+            await until(lambda: len(sidecar.http.clients.all) == 2)
+            for number, sock in enumerate(socks):
+                sock.sendall(message("order", f"id{number}"))
+            await until(lambda: fake.got and len(sidecar.http.clients.all) == 1)
+            assert len(read) == len(fake.got) == 1
+            for sock in socks:
+                sock.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize("closing", ["taken", "parsed"])
+def test_what_was_read_in_the_turn_of_a_close_is_not_sent_on(tmp_path, closing):
+    """The connection is closed while several requests that came at once are parsed and taken up."""
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with sidecar_before(tmp_path, fake) as sidecar:
+            assert (await ask(sidecar.port, message("order", "warm"))).code == 200
+            await until(lambda: not sidecar.http.clients.all)
+            client = connect(sidecar.port)
+            await until(lambda: sidecar.http.clients.all)
+            front = front_of(sidecar, client)
+            engine = sidecar.engine
+            take, complete = engine.take, front.on_message_complete
+
+            def take_and_close(*args):
+                front.close()
+                take(*args)
+
+            def complete_and_close():
+                complete()
+                front.close()
+
+            if closing == "taken":
+                engine.take = take_and_close
+            else:
+                front.on_message_complete = complete_and_close
+                front.parser = HttpRequestParser(front)
+            client.sendall(b"".join(message("order", f"id{n}") for n in range(3)))
+            await until(lambda: not sidecar.http.clients.all and not engine.held and not engine.attempts)
+            engine.take = take
+            assert (await ask(sidecar.port, message("order", "other"))).code == 200
+            assert ids(fake) == ["warm", "other"]
+            client.close()
+
+    run(play())
+
+
+def test_a_connection_that_is_refused_as_it_is_made_is_not_read(tmp_path, monkeypatch):
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with sidecar_before(tmp_path, fake) as sidecar:
+            monkeypatch.setattr(sidecar.http.clients, "admit", lambda client, host: False)
+            client = connect(sidecar.port)
+            client.sendall(message("order", "refused"))
+            data, _ = await receive(client)
+            assert data == b"" and not fake.got
+            client.close()
+
+    run(play())
+
+
+# An answer that its client has not read yet
+
+
+async def answered(sidecar, sock, sent):
+    """Send, and wait until the sidecar has written an answer that the client's machine can't take whole."""
+    sock.sendall(sent)
+    await until(lambda: sidecar.http.clients.all)
+    front = front_of(sidecar, sock)
+    await until(lambda: front.asked and front.idle and unacknowledged(front.transport))
+    assert unacknowledged(front.transport) > NARROW
+    return front
+
+
+@pytest.mark.parametrize("path", CLOSES)
+def test_a_close_that_a_request_crosses_takes_no_answer_away(tmp_path, monkeypatch, path):
+    """A close over unread bytes resets the connection: what the client's machine has not got is gone."""
+
+    async def play():
+        fake = await Fake(answer_long).start()
+        async with sidecar_before(tmp_path, fake) as sidecar:
+            client = connect_narrow(sidecar.port)
+            await answered(sidecar, client, message("order", "first"))
+            send_after_look(monkeypatch, client, message("order", "crossing"))
+            close_by(sidecar, path)
+            data, _ = await receive(client, whole(LONG))
+            assert data.endswith(LONG)
+            client.close()
+
+    run(play())
+
+
+def test_a_half_written_request_that_makes_room_takes_no_answer_away(tmp_path):
+    async def play():
+        fake = await Fake(answer_long).start()
+        async with sidecar_before(tmp_path, fake) as sidecar:
+            client = connect_narrow(sidecar.port)
+            front = await answered(sidecar, client, message("order", "first"))
+            client.sendall(b"POST /order")
+            await until(lambda: front.begun)
+            client.sendall(b"/part")  # unread as the connection closes
+            sidecar.http.clients.give_way()
+            data, _ = await receive(client, whole(LONG))
+            assert data.endswith(LONG)
+            client.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize("why", ["asked", "leaving"])
+def test_a_last_answer_reaches_a_client_that_has_sent_more(tmp_path, why):
+    """The connection closes after it, with bytes unread."""
+
+    async def play():
+        fake = await Fake(answer_long).start()
+        async with sidecar_before(tmp_path, fake) as sidecar:
+            sidecar.engine.lifecycle.sending_away = why == "leaving"
+            client = connect_narrow(sidecar.port)
+            client.sendall(b"")
+            await until(lambda: sidecar.http.clients.all)
+            front = front_of(sidecar, client)
+            leave = front._leave
+
+            def send_and_leave():
+                client.sendall(message("order", "crossing"))
+                leave()
+
+            front._leave = send_and_leave
+            last = ["Connection: close"] if why == "asked" else []
+            client.sendall(message("order", "first", "3000m", b"", *last))
+            data, _ = await receive(client)
+            assert data.endswith(LONG) and ids(fake) == ["first"]
+            client.close()
+            await until(lambda: not sidecar.http.clients.all)
+
+    run(play())
+
+
+@pytest.mark.parametrize("framing", [b"Content-Length: 1000000", b"Transfer-Encoding: chunked"])
+def test_an_answer_that_breaks_off_takes_none_away_that_went_before_it(tmp_path, framing):
+    """Nor its own beginning: a client that has read nothing of an answer sends its request again."""
+
+    async def play():
+        async def break_off(got, reader, writer):
+            if got.headers["x-request-id"] == "first":
+                writer.write(reply(200, LONG))
+                return
+            part = bytes(2 * HOLD_MOST)
+            part = b"%x\r\n%s\r\n" % (len(part), part) if b"chunked" in framing else part
+            writer.write(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n" + part)
+            await writer.drain()
+            writer.close()
+
+        fake = await Fake(break_off).start()
+        async with sidecar_before(tmp_path, fake) as sidecar:
+            client = connect_narrow(sidecar.port)
+            client.sendall(message("order", "first") + message("order", "second"))
+            await until(lambda: len(fake.got) == 2 and not sidecar.engine.held)
+            data, _ = await receive(client)
+            first, _, rest = data.partition(LONG)
+            assert first.startswith(b"HTTP/1.1 200") and rest.startswith(b"HTTP/1.1 200")
+            assert (
+                framing.lower() in rest.lower() and len(rest) < 1_000_000 and not rest.endswith(b"0\r\n\r\n")
+            )
+            client.close()
+            await until(lambda: not sidecar.http.clients.all)
+
+    run(play())
+
+
+def test_a_slow_client_can_tell_that_an_answer_without_a_length_was_cut(tmp_path):
+    async def play():
+        async def endless(got, reader, writer):
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + bytes(8 << 20))
+            await reader.read()
+
+        fake = await Fake(endless).start()
+        async with sidecar_before(tmp_path, fake) as sidecar:
+            sidecar.http.clients.times.slow_reader = 0.1
+            client = connect_narrow(sidecar.port)
+            client.sendall(message("order", "old").replace(b"HTTP/1.1", b"HTTP/1.0"))
+            await until(lambda: fake.got)
+            await until(lambda: not sidecar.http.clients.all)
+            _, was_reset = await receive(client)
+            assert was_reset
+            client.close()
+
+    run(play())
+
+
+def test_what_waits_behind_a_last_answer_is_let_go_of(tmp_path):
+    """Guards the memory of messages: what was held of requests that are not taken up any more."""
+
+    async def play():
+        server = Server()
+        async with sidecar_before(tmp_path, server) as sidecar:
+            client = connect(sidecar.port)
+            behind = b"".join(message("order", f"id{n}", "3000m", bytes(1000)) for n in range(4))
+            client.sendall(message("order", "first") + behind)
+            taken = await server.accept()
+            await taken.has(b"first")
+            await until(lambda: len(front_of(sidecar, client).waiting) == 4)
+            sidecar.engine.lifecycle.answered = True
+            taken.answer()
+            data, _ = await receive(client)
+            assert data.count(b"HTTP/1.1 200") == data.count(b"HTTP/1.1 503") == 1
+            client.close()
+            await until(lambda: not sidecar.http.clients.all)
+            assert sidecar.engine.memory.held == 0
+            assert b"id" not in server.take_all()
+        server.close()
+
+    run(play())
