Take no request once the end has come, and answer what is held before any socket closes

Cause: `Lifecycle._stop` only set a future, and the process closes its sockets a turn of the loop later or more; a request read in between, also on a connection accepted before and made after, was sent on with nobody left to answer it. `Lifecycle.close` left what was held without an answer, while `Engine.close` closes the carriers before the fronts: an attempt that never got its connection went to the next server meanwhile (core/lifecycle.py). In each of these the client finds its connection closed without an answer and sends the request again, to the next process.

Now `_stop` and `close` answer all that is held and turn away what still comes.

--- a/ochreflow/core/lifecycle.py
+++ b/ochreflow/core/lifecycle.py
@@ -148,6 +148,7 @@
             self._empty()
 
     def _answer_all(self) -> None:
+        """Answer what is held; from here on nothing new is taken."""
         self.answered = True
         self.answer_all()
 
@@ -160,12 +161,16 @@
             self._stop()
 
     def _stop(self) -> None:
+        # Guards a request that is read while the process ends: nobody would answer it any more.
+        self._answer_all()
         if not self.stopped.done():
             self.stopped.set_result(None)
 
     def close(self) -> None:
+        """Nothing is owed or taken any more: the sockets can be closed."""
         self._stop_emptying()
         self._close_doors()
+        self._answer_all()
 
     def _close_doors(self) -> None:
         self.accepting = False
