Take no refusal as proof while part of its request is still on its way

Of a large request the system may hold the rest then, and sends it on after the connection is closed: the request arrives whole, and runs.

Change: such a refusal counts only if the server's machine has acknowledged all of the request. Else the attempt ends as called off, which may have run; where the last byte was never handed over, the closed connection is the proof, as before.

Result: a request of 256 KiB at a server that reads nothing, then refuses: FULL on the code before, now CANCELLED, and the server reads the whole request afterwards (test_a_refusal_proves_nothing_while_part_of_the_request_is_still_on_its_way, failed before).

--- a/ochreflow/http/upstream_connection.py
+++ b/ochreflow/http/upstream_connection.py
@@ -238,14 +238,21 @@
     def _finish(self) -> None:
         exchange, response = self.exchange, self.response.complete
         assert exchange is not None and response is not None
+        status = classify(response)
+        # Where part of the request is still on its way, what has come is no answer to it, and the rest may
+        # arrive after the connection is closed.
+        doubtful = status is Status.FULL and not self.arrived
         self.exchange = None
         self.pause_response(False)
         self._release_response()
-        if self.response.keep_alive and not self.unwritten and not self.response.surplus:
+        if self.response.keep_alive and not self.unwritten and not self.response.surplus and not doubtful:
             self.pool.keep(self)
         else:
             self.close()
-        exchange.end(classify(response), response)
+        if doubtful and not self.unwritten:
+            exchange.end(Status.CANCELLED)
+        else:
+            exchange.end(status, response)
 
     def _release_response(self) -> None:
         """Stop the timers of the exchange, and release the response's memory."""
--- a/tests/test_response_proof.py
+++ b/tests/test_response_proof.py
@@ -4,10 +4,14 @@
 proof. Each test forces one response through a real socket, and counts the copies that reach any server.
 """
 
+import asyncio
 import contextlib
+import socket
 
 import pytest
 from net_helpers import (
+    HOST,
+    WAIT,
     Fake,
     Sidecar,
     answer_ok,
@@ -21,10 +25,12 @@
     run,
 )
 
-from ochreflow.core.limits import MB, Memory
+from ochreflow.core.limits import MB, Descriptors, Memory
 from ochreflow.http import upstream_connection
+from ochreflow.http.exchange import Exchange
 from ochreflow.http.response import ResponseParser, classify
-from ochreflow.policy.interface import Status
+from ochreflow.http.upstream import Upstreams
+from ochreflow.policy.interface import State, Status
 
 HEAD = b"HTTP/1.1 503 Full\r\n"
 NOT_RUN = b"X-Not-Run: 1\r\n"
@@ -33,6 +39,7 @@
 BODY_AND_END = b"4\r\nfull\r\n0\r\n"
 REFUSAL = HEAD + NOT_RUN + EMPTY
 INVITES_REPEAT = (429, 503)
+LARGE = 256 * 1024  # bytes of a request: more than a small receive buffer, less than the send buffer takes
 
 
 def stay(writer):
@@ -161,3 +168,73 @@
     for size in (1, 2, 7, len(data)):
         pieces = [data[at : at + size] for at in range(0, len(data), size)]
         assert (parse(pieces, then is close) is Status.FULL) == proven, size
+
+
+class LargeRequest:
+    """A large request at a server that reads nothing of it until it is told to."""
+
+    def __init__(self, size):
+        self.payload = b"POST /order HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" % (size, b"x" * size)
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.listener.bind((HOST, 0))
+        self.listener.listen()
+        self.listener.setblocking(False)
+        loop = asyncio.get_running_loop()
+        self.pool = Upstreams(loop, Descriptors(1024), Memory(192 * MB), 5.0, 60.0)
+        self.pool.update(1, self.listener.getsockname(), 0, State.READY)
+
+    async def write(self):
+        """Start it: the exchange, the future of its end, and the server's side of the connection."""
+        loop = asyncio.get_running_loop()
+        end = loop.create_future()
+        exchange = Exchange(lambda: self.payload, lambda _, status, answer: end.set_result(status), 64 * 1024)
+        self.pool.start(1, exchange, WAIT)
+        server, _ = await loop.sock_accept(self.listener)
+        return exchange, end, server
+
+    async def read(self, server):
+        """All that arrives until the connection ends."""
+        got = b""
+        with contextlib.suppress(ConnectionResetError):
+            while data := await asyncio.get_running_loop().sock_recv(server, 1024 * 1024):
+                got += data
+        server.close()
+        return got
+
+
+def test_a_refusal_proves_nothing_while_part_of_the_request_is_still_on_its_way():
+    """What the system holds goes on to the server after the connection is closed, and the request runs."""
+
+    async def play():
+        request = LargeRequest(LARGE)
+        exchange, end, server = await request.write()
+        while exchange.connection is None:
+            await asyncio.sleep(0)
+        connection = exchange.connection
+        assert not connection.unwritten and not connection.arrived
+        server.sendall(REFUSAL)
+        assert await end is Status.CANCELLED
+        assert not request.pool.connections
+        assert await request.read(server) == request.payload
+        request.listener.close()
+
+    run(play())
+
+
+def test_a_request_that_was_refused_before_it_was_whole_never_becomes_whole():
+    """The refusal closes the connection with the rest never sent: this is the proof."""
+
+    async def play():
+        request = LargeRequest(64 * LARGE)
+        exchange, end, server = await request.write()
+        while exchange.connection is None:
+            await asyncio.sleep(0)
+        assert exchange.connection.unwritten
+        server.sendall(REFUSAL)
+        assert await end is Status.FULL
+        assert not request.pool.connections
+        assert len(await request.read(server)) < len(request.payload)
+        request.listener.close()
+
+    run(play())
