Let no late second answer reach a request that must not simply be repeated

A second answer some milliseconds later was taken for that to the next request; a 503 with X-Not-Run proved that this one never ran, while its server ran it.

Change: a request with an unsafe method (POST: unsafe and keyed classes) goes out only where the last response lies 50 ms back, or on a new connection. Until then the idle connection is held for it, and any byte that comes closes it. 50 ms is the slack of the protocol's time limits on sockets; no setting says how late a second answer may be. All requests prefer settled connections. GET requests don't wait: sent again they do no harm.

Open: an answer that comes later than 50 ms, and one that a GET request meets, which may be served another's body. Bytes with nothing out, or unread before the next request, close a connection as before.

--- a/ochreflow/http/carrier.py
+++ b/ochreflow/http/carrier.py
@@ -39,7 +39,16 @@
                 report = self.reports.read(response.load)
             watcher.ended(status, response, report)
 
-        exchange = Exchange(head, done, HOLD_MOST, watcher.written, body, watcher, watcher.write_within)
+        exchange = Exchange(
+            head,
+            done,
+            HOLD_MOST,
+            watcher.written,
+            body,
+            watcher,
+            watcher.write_within,
+            safe=not call.is_write,
+        )
         self.upstreams.start(server, exchange, timeout)
         return exchange
 
--- a/ochreflow/http/exchange.py
+++ b/ochreflow/http/exchange.py
@@ -76,6 +76,7 @@
         "rejected",
         "relay",
         "response_limit",
+        "safe",
         "timer",
         "within",
         "write_timer",
@@ -91,6 +92,7 @@
         body: Body | None = None,
         relay: Relay | None = None,
         within: Callable[[], float] | None = None,
+        safe: bool = True,
     ) -> None:
         # Called as the request is written, since its head tells the time that is left. None: it has ended.
         self.head: Callable[[], bytes] | None = head
@@ -100,6 +102,7 @@
         self.body = body  # follows the head, and may still be coming
         self.relay = relay  # for a response too long to be buffered; None: every response is buffered
         self.within = within  # asked as the first byte is to go out: see `Watcher.write_within`
+        self.safe = safe  # its method is: sending it again does no harm
         self.generation = 0  # of its server when it was started
         self.rejected = False  # it must not begin any more, and its end has been scheduled
         self.write_timer: asyncio.TimerHandle | None = None  # fires when the request must have arrived
--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
 import math
 import socket
 from enum import Enum, auto
@@ -86,17 +87,55 @@
         exchange.generation = target.generation
         if timeout is not None:
             exchange.wait(timeout)
+        self._find_connection(target, exchange)
+
+    def _find_connection(self, target: Target, exchange: Exchange) -> None:
+        """Send an exchange on an idle connection, now or once that is settled, or on a new one."""
         while target.idle:
-            connection = target.idle.pop()
+            connection = self._take_idle(target)
+            if not self._may_carry(connection, exchange):
+                self._send_when_settled(connection, exchange)
+                return
             result = self._try_send(connection, exchange)
             if result is SendResult.REJECTED:
-                target.idle.append(connection)
+                bisect.insort(target.idle, connection, key=lambda idle: idle.idle_since)
                 self.loop.call_soon(exchange.end, Status.MOOT)
             if result is not SendResult.DEAD:
                 return
             connection.close()  # found dead before anything was written: no attempt was made
         self._open(target, exchange)
 
+    @staticmethod
+    def _take_idle(target: Target) -> Connection:
+        """The most recently used connection that is settled, else the one that has been idle longest."""
+        for place in reversed(range(len(target.idle))):
+            if target.idle[place].settled:
+                return target.idle.pop(place)
+        return target.idle.pop(0)
+
+    @staticmethod
+    def _may_carry(connection: Connection, exchange: Exchange) -> bool:
+        """Whether no second response to the request before can come any more, or it would do no harm.
+
+        Taken for the response to an unsafe request, a late refusal would have it sent again while a server
+        runs it.
+        """
+        return exchange.safe or connection.settled
+
+    def _send_when_settled(self, connection: Connection, exchange: Exchange) -> None:
+        """Wait with nothing sent on a connection: a second response that comes meanwhile closes it."""
+        target = connection.target
+        target.opening[exchange] = None
+
+        def settled() -> None:
+            self.keep(connection)
+            if exchange in target.opening:  # it was not sent there
+                del target.opening[exchange]
+                if not exchange.ended and not exchange.rejected:
+                    self._find_connection(target, exchange)
+
+        self.loop.call_later(connection.settles_in(), settled)
+
     @staticmethod
     def _try_send(connection: Connection, exchange: Exchange) -> SendResult:
         """Write an exchange if it still may be sent; the one place where an exchange begins.
@@ -174,7 +213,10 @@
             return
         # The connection that is being made for a waiting exchange will be kept in place of this one.
         # An exchange that has just been given up is among them until its task has ended.
-        for exchange in [exchange for exchange in target.opening if not exchange.ended]:
+        waiting = [exchange for exchange in target.opening if not exchange.ended]
+        for exchange in waiting:
+            if not self._may_carry(connection, exchange):
+                continue
             result = self._try_send(connection, exchange)
             if result is SendResult.REJECTED:
                 self.loop.call_soon(exchange.end, Status.MOOT)
@@ -186,6 +228,15 @@
             return
         connection.idle_since = monotonic()
         target.idle.append(connection)
+        if waiting:
+            self.loop.call_later(connection.settles_in(), self._offer, connection)
+
+    def _offer(self, connection: Connection) -> None:
+        """Use a connection that is settled by now for an exchange that waits, if it is still idle."""
+        target = connection.target
+        if connection in target.idle and target.opening:
+            target.idle.remove(connection)
+            self.keep(connection)
 
     def dropped(self, connection: Connection) -> None:
         """Neither count nor use a connection any more: it closes."""
--- a/ochreflow/http/upstream_connection.py
+++ b/ochreflow/http/upstream_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from time import monotonic
 from typing import Protocol
@@ -20,6 +21,9 @@
 # attempt, so it is given up sooner than one that is relayed, or than a request that a server reads slowly.
 RESPONSE_STALL_TIMEOUT = 1.0
 RELAY_STALL_TIMEOUT = 2.5
+# Seconds after a response within which a second one to the same request may come. No setting says how late it
+# can be; this is the slack by which the protocol lets each time limit on sockets grow.
+SETTLING_TIME = 0.05
 
 
 class ConnectionPool(Protocol):
@@ -45,7 +49,7 @@
         self.since_ms = since_ms
         self.generation = 0  # grows with each restart or move; connections of an earlier one are not reused
         self.accepts_requests = True
-        self.idle: list[Connection] = []  # the most recently used last
+        self.idle: list[Connection] = []  # by `idle_since`, the most recently used last
         self.opening: dict[Exchange, None] = {}  # exchanges that wait for a connection, in their order
 
 
@@ -64,6 +68,7 @@
         self.response_paused = False  # nothing is read while the response's client is slower
         self.closed = False
         self.idle_since = 0.0
+        self.answered_at = -math.inf  # when the last response on it was complete
         self.response = ResponseParser(pool.memory)
         self.last_read = 0.0  # when the last bytes of the response came
         self.read_stall: asyncio.TimerHandle | None = None  # runs while a response is incomplete
@@ -243,6 +248,7 @@
         # arrive after the connection is closed.
         doubtful = status is Status.FULL and not self.arrived
         self.exchange = None
+        self.answered_at = monotonic()
         self.pause_response(False)
         self._release_response()
         if self.response.keep_alive and not self.unwritten and not self.response.surplus and not doubtful:
@@ -254,6 +260,19 @@
         else:
             exchange.end(status, response)
 
+    @property
+    def settled(self) -> bool:
+        """Whether its last response is so long ago that a second one to that request would have come.
+
+        Only its place says which request a response belongs to: a late second one would be taken for that to
+        the next request.
+        """
+        return self.settles_in() == 0.0
+
+    def settles_in(self) -> float:
+        """Seconds until it is settled."""
+        return max(self.answered_at + SETTLING_TIME - monotonic(), 0.0)
+
     def _release_response(self) -> None:
         """Stop the timers of the exchange, and release the response's memory."""
         if self.read_stall is not None:
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -125,6 +125,8 @@
         for end in ends:
             assert (await end)[0] is Status.OK
         await until(lambda: len(pool.targets[1].idle) == 3)  # one may have taken another's, its own comes yet
+        for connection in pool.targets[1].idle:  # no second answer is to be feared on any of them
+            connection.answered_at -= upstream_connection.SETTLING_TIME
         latest = pool.targets[1].idle[-1]
         _, end = start(pool)
         assert latest.exchange is not None
