--- /dev/null
+++ b/tests/test_duplicate_faults.py
@@ -0,0 +1,148 @@
+"""Rule `duplicate` whatever fails within the decision module: its calls fail, one in each run."""
+
+import inspect
+from dataclasses import dataclass
+
+import pytest
+from duplicate_model import CLASSES, Stage
+from helpers import MS
+
+from ochreflow.policy import fleet, health, latency, limit, logic, pace, pick, records, repeats, rules, shares
+from ochreflow.policy.interface import State, Status
+
+MODULES = (fleet, health, latency, limit, logic, pace, pick, records, repeats, rules, shares)
+PARTS = {
+    kind
+    for module in MODULES
+    for kind in vars(module).values()
+    if inspect.isclass(kind) and kind.__module__ in {one.__name__ for one in MODULES}
+}
+STRIDE = 6  # runs skip calls by this, each class from another one on
+
+
+class InjectedError(Exception):
+    """The fault that is put into the module."""
+
+
+@dataclass
+class Injector:
+    """Lets the calls within the module pass, but for one."""
+
+    fails_at: int
+    after_work: bool  # it fails with its work done, in place of before it
+    calls: int = 0
+    armed: bool = False
+
+    def wrap(self, function):
+        def call(*args, **named):
+            if not self.armed:
+                return function(*args, **named)
+            self.calls += 1
+            fails = self.calls == self.fails_at
+            if fails and not self.after_work:
+                raise InjectedError
+            result = function(*args, **named)
+            if fails:
+                raise InjectedError
+            return result
+
+        return call
+
+    def install(self, monkeypatch):
+        for kind in PARTS:
+            for name, function in list(vars(kind).items()):
+                if inspect.isfunction(function) and not name.startswith("__"):
+                    monkeypatch.setattr(kind, name, self.wrap(function))
+
+
+ENDS = {
+    "full": lambda carriage: carriage.answer(Status.FULL),
+    "error": lambda carriage: carriage.answer(Status.ERROR),
+    "reset": lambda carriage: carriage.answer(Status.RESET),
+    "ok": lambda carriage: carriage.answer(Status.OK),
+    "flows": lambda carriage: carriage.begin(),
+    "silent": lambda carriage: None,
+}
+# What becomes of the attempts of each request, in their order; the last goes on. "refused": no connection.
+SCRIPTS = [
+    ["full", "refused", "reset", "ok"],
+    ["reset", "full", "ok"],
+    ["silent", "reset"],
+    ["refused", "flows"],
+    ["full", "full", "error"],
+    ["reset", "reset", "reset"],
+]
+
+
+def script(stage, carriage, ends):
+    """Play one attempt: its connection comes up, its last byte goes out, its server ends it."""
+    later = stage.loop.call_later
+    if ends == "refused":
+        later(0.006, carriage.fail_to_connect)
+        return
+    later(0.006, carriage.connect)
+    later(0.009, carriage.finish)
+    later(0.030, ENDS[ends], carriage)
+    if ends == "flows":
+        later(0.050, carriage.answer, Status.RESET)
+
+
+def change_list(stage):
+    """One server moves in place, one starts anew elsewhere, one drains."""
+    moved, restarted, drained = (stage.endpoints[number] for number in (2, 3, 4))
+    for endpoint in (moved, restarted):
+        endpoint.zone, endpoint.cell = 1 - endpoint.zone, (endpoint.cell + 1) % 3
+    restarted.started_ns = stage.loop.now
+    drained.state = State.DRAINING
+    stage.tell()
+
+
+def play(monkeypatch, cls, injector):
+    """A fifth of a second with all kinds of ends, then all deadlines; the model's findings fail the test."""
+    with monkeypatch.context() as patch:
+        injector.install(patch)
+        stage = Stage([cls], seed=7)
+        made = {}
+
+        def start(carriage):
+            name = carriage.call.name
+            number = made[name] = made.get(name, -1) + 1
+            scripted = SCRIPTS[name % len(SCRIPTS)]
+            script(stage, carriage, scripted[min(number, len(scripted) - 1)])
+
+        stage.carrier.on_start = start
+        stage.carrier.blocked = True
+        injector.armed = True
+        for number in range(len(SCRIPTS)):
+            stage.loop.call_later(number * 0.004, stage.ask)
+        stage.loop.call_later(0.002, ask_with_body, stage)
+        stage.loop.call_later(0.035, change_list, stage)
+        stage.loop.call_later(0.045, ask_and_leave, stage)
+        stage.run(200 * MS)
+        stage.finish()
+        assert not stage.loop.failed
+
+
+def ask_with_body(stage):
+    call = stage.ask(complete=False, name=len(SCRIPTS) + 1)
+    stage.loop.call_later(0.020, stage.end_body, call)
+
+
+def ask_and_leave(stage):
+    call = stage.ask(name=len(SCRIPTS) + 2)
+    stage.loop.call_later(0.020, stage.leave, call)
+
+
+@pytest.mark.parametrize("after_work", [False, True])
+@pytest.mark.parametrize("cls", list(CLASSES))
+def test_no_fault_within_the_module_sends_again_or_invites_a_repeat(monkeypatch, cls, after_work):
+    counted = Injector(0, after_work)
+    play(monkeypatch, cls, counted)
+    assert counted.calls > 500
+    first = 1 + list(CLASSES).index(cls) % STRIDE
+    for fails_at in range(first, counted.calls + 1, STRIDE):
+        injector = Injector(fails_at, after_work)
+        try:
+            play(monkeypatch, cls, injector)
+        except AssertionError as error:
+            raise AssertionError(f"call {fails_at} failed: {error}") from error
--- /dev/null
+++ b/tests/test_duplicate_machine.py
@@ -0,0 +1,155 @@
+"""Rule `duplicate` over the core and the decision module, with timers, ends and clients in every order.
+
+Hypothesis draws what happens next: bytes that go out, ends of attempts, timers that ring late and out of
+turn, lists, clients that leave, bodies that break, the end of the process. The model judges each copy and
+each answer.
+"""
+
+import pytest
+from duplicate_model import CLASSES, Stage
+from helpers import MS
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    rule,
+    run_state_machine_as_test,
+)
+
+from ochreflow.core.stats import Disposition
+from ochreflow.policy.interface import State, Status
+
+SERVERS = 5
+ASKED_MOST = 4  # requests in one run: more only dilute what is drawn
+REPEATS = 20.0  # paid for beforehand, so that no budget hides what else would be sent
+ATTEMPT = {
+    "connects": lambda carriage: carriage.connect(),
+    "is refused": lambda carriage: carriage.fail_to_connect(),
+    "is whole": lambda carriage: carriage.finish(),
+    "begins to be answered": lambda carriage: carriage.begin(),
+    "is served": lambda carriage: carriage.answer(Status.OK),
+    "fails": lambda carriage: carriage.answer(Status.ERROR),
+    "is full": lambda carriage: carriage.answer(Status.FULL),
+    "is reset": lambda carriage: carriage.answer(Status.RESET),
+}
+CLIENTS = ["a request comes", "a body ends", "a body breaks", "a client leaves", "the process ends"]
+LISTS = ["a server moves", "a server restarts", "a server drains", "a server is ready"]
+SOCKETS = ["idle connections", "new connections", "full sockets", "free sockets"]
+FAULTS = ["a start fails before", "a start fails after"]
+TURNS = [*ATTEMPT, *CLIENTS, *LISTS, *SOCKETS, *FAULTS, "a timer rings out of turn"]
+# What drives requests on is drawn more often than what ends them.
+TURNS += ["connects"] * 8 + ["is reset", "is full"] * 3 + ["a server moves"] * 3 + ["a request comes"] * 3
+SPANS = [0, 0, 0, 1, 5, 20, 20, 60, 200]  # ms
+any_of = st.integers(0, 5)
+
+
+class Crossings(RuleBasedStateMachine):
+    """One class of requests through one engine. One rule, as hypothesis draws all rules alike often."""
+
+    cls = ""  # set by each test
+
+    @initialize(seed=any_of, second_copies=st.booleans(), can_cancel=st.booleans(), complete=st.booleans())
+    def begin(self, seed, second_copies, can_cancel, complete):
+        self.stage = Stage(
+            [self.cls], SERVERS, seed, second_copies=second_copies, can_cancel=can_cancel, max_attempts=6
+        )
+        self.stage.engine.balancer.repeats.tokens = REPEATS
+        self.calls = [self.stage.ask(), self.stage.ask(complete=complete)]
+        self.ended = False
+
+    def teardown(self):
+        if hasattr(self, "stage"):
+            for call in self.unfinished():  # a client that sends no more of its body is not waited for
+                self.stage.leave(call)
+            self.stage.finish()
+            assert not self.stage.loop.failed
+
+    @property
+    def out(self):
+        return self.stage.carrier.out
+
+    @property
+    def held(self):
+        """Requests that are owed an answer."""
+        return [call for call in self.calls if call.ticket in self.stage.engine.held]
+
+    def unfinished(self):
+        """Of these, the ones whose body is still coming."""
+        return [call for call in self.held if not call.body.complete]
+
+    @rule(
+        what=st.sampled_from(TURNS),
+        which=any_of,
+        span=st.sampled_from(SPANS),
+        rings=st.sampled_from([True, True, False]),
+    )
+    def turn(self, what, which, span, rings):
+        """Something happens, and time passes; where the loop is busy meanwhile, nothing rings yet."""
+        if what in ATTEMPT:
+            if self.out:
+                ATTEMPT[what](self.out[which % len(self.out)])
+        elif what in CLIENTS:
+            self._change_clients(what, which)
+        elif what in LISTS:
+            self._change_list(what, which)
+        elif what in SOCKETS:
+            self._change_sockets(what)
+        elif what in FAULTS:
+            self.stage.carrier.starts_fail = what.split()[-1]
+        elif due := self.stage.loop.due():
+            self.stage.loop.ring(due[which % len(due)])
+        if rings:
+            self.stage.run(span * MS)
+        else:
+            self.stage.loop.now += span * MS
+
+    def _change_clients(self, what, which):
+        if what == "a request comes":
+            if len(self.calls) < ASKED_MOST and not self.ended:
+                self.calls.append(self.stage.ask(complete=which > 1))
+        elif what == "the process ends":
+            self.ended = True
+            self.stage.engine.lifecycle._answer_all()
+        elif what == "a client leaves":
+            if self.held:
+                self.stage.leave(self.held[which % len(self.held)])
+        elif self.unfinished():
+            self._end_body(self.unfinished()[which % len(self.unfinished())], what == "a body breaks")
+
+    def _change_list(self, what, which):
+        """It concerns a server to which a copy of a request that is held has gone, if there is any."""
+        asked = [self.stage.rule.asked[call.name] for call in self.held]
+        tried = [copy.server for one in asked for copy in one.copies] or [1]
+        known = self.stage.endpoints[tried[which % len(tried)]]
+        if what == "a server moves":
+            known.zone, known.cell = 1 - known.zone, (known.cell + 1) % 3
+        elif what == "a server restarts":
+            known.started_ns = self.stage.loop.now
+        else:
+            known.state = State.DRAINING if what == "a server drains" else State.READY
+        self.stage.tell()
+
+    def _change_sockets(self, what):
+        if what.endswith("connections"):
+            self.stage.carrier.pooled = what.startswith("idle")
+        else:
+            self.stage.carrier.blocked = what.startswith("full")
+
+    def _end_body(self, call, breaks):
+        if breaks:
+            call.body.drop()
+            self.stage.engine.body_broken(call, Disposition.DECLINED, (503, b"too much is held\n"))
+        else:
+            self.stage.end_body(call)
+
+
+@pytest.mark.parametrize("cls", list(CLASSES))
+def test_no_order_of_events_sends_again_or_invites_a_repeat(cls):
+    machine = type("CrossingsOfOneClass", (Crossings,), {"cls": cls})
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=100, stateful_step_count=40, derandomize=True, deadline=None, database=None
+        ),
+    )
