Answer a request that was sent on also when its client has ended its sending

Cause: `ClientConnection.eof_received` and `close_if_gone` closed without a word while a request was open (http/connection.py). A half-close is taken for leaving, which can't be told apart; but a client that only ended its sending and still reads saw a bare close, as if its request had not been read, and sends it again on a new connection. It is told 502 now. One that has really left never reads it, and no attempt begins for either, as before.

Measured: the three cases of test_a_client_that_still_reads_is_told_that_what_was_sent_on_has_failed failed before.

--- a/ochreflow/http/connection.py
+++ b/ochreflow/http/connection.py
@@ -119,6 +119,13 @@
     return code, headers, body
 
 
+def _answer(code: int, headers: bytes, body: bytes, keep_alive: bool) -> bytes:
+    return _head(code, headers + b"Content-Length: %d\r\n" % len(body), keep_alive) + body
+
+
+CLIENT_LEFT = _answer(502, b"", b"failed: the client has ended its sending\n", keep_alive=False)
+
+
 @dataclass(frozen=True, slots=True)
 class Shared:
     """What all connections of the front have in common."""
@@ -238,9 +245,19 @@
             return True
         if not peer_gone(self.transport):
             return False
-        self.close()
+        self._client_left()
         return True
 
+    def _client_left(self) -> None:
+        """Close after its client has ended its sending.
+
+        Guards a request that may run against being sent again: by a client that only ended its sending and
+        still reads, a close without an answer is taken for one of a request that was not read.
+        """
+        if self.current is not None and self.passing is None:
+            self._write(CLIENT_LEFT)
+        self.close()
+
     # The transport's calls
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -282,7 +299,7 @@
             self._leave()  # what its client has not taken yet keeps the time that it needs
 
     def eof_received(self) -> None:
-        self.close()
+        self._client_left()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
@@ -591,8 +608,7 @@
 
     def _respond(self, code: int, headers: bytes, body: bytes, keep_alive: bool) -> None:
         keep_alive = self._keeps(keep_alive)
-        headers += b"Content-Length: %d\r\n" % len(body)
-        self._write(_head(code, headers, keep_alive) + body)
+        self._write(_answer(code, headers, body, keep_alive))
         if not keep_alive:
             self._leave()
 
--- a/tests/test_read_then_closed.py
+++ b/tests/test_read_then_closed.py
@@ -10,7 +10,7 @@
 
 import pytest
 from httptools import HttpRequestParser
-from leaving import Server, connect, front_of
+from leaving import Server, connect, end_can_be_read, front_of
 from net_helpers import (
     HOST,
     WAIT,
@@ -29,7 +29,7 @@
 
 from ochreflow.core.body import HOLD_MOST
 from ochreflow.http import connection
-from ochreflow.http.connection import ClientConnection
+from ochreflow.http.connection import WAITING_MOST, ClientConnection
 from ochreflow.http.progress import unacknowledged
 
 LONG = b"a" * (HOLD_MOST * 3 // 4)  # an answer that is held until it is whole
@@ -368,3 +368,36 @@
         server.close()
 
     run(play())
+
+
+# A client that has ended its sending
+
+
+@pytest.mark.parametrize("seen", ["read", "behind unread bytes", "asked"])
+def test_a_client_that_still_reads_is_told_that_what_was_sent_on_has_failed(tmp_path, seen):
+    """A half-close looks like leaving. A bare close would tell such a client to send its request again."""
+
+    async def play():
+        server = Server()
+        async with sidecar_before(tmp_path, server) as sidecar:
+            client = connect(sidecar.port)
+            client.sendall(message("order", "held"))
+            taken = await server.accept()
+            await taken.has(b"held")
+            front = front_of(sidecar, client)
+            if seen == "behind unread bytes":
+                client.sendall(b"".join(message("order", f"id{n}") for n in range(WAITING_MOST)))
+                await until(lambda: front.paused)
+                client.sendall(message("order", "unread"))
+            client.shutdown(socket.SHUT_WR)
+            if seen == "asked":
+                end_can_be_read(front)
+                assert front.gone(front.current)
+            data, _ = await receive(client)
+            assert data.startswith(b"HTTP/1.1 502") and data.count(b"HTTP/1.1") == 1
+            await until(lambda: not sidecar.http.clients.all and not sidecar.engine.held)
+            assert server.take_all().count(b"X-Request-Id") == 1
+            client.close()
+        server.close()
+
+    run(play())
