Send nothing on behind an answer that broke off, and linger no longer than once

Cause: since a broken answer ends without a reset, `_break_off` left the requests that waited behind it in place (http/connection.py), and a slow client's `resume_writing` took the next one up: sent on, with no answer possible. The end of the own sending drops what waits, whoever asks for it. And a client whose machine acknowledged its last answer only after the linger had begun was waited for twice as long: one look is enough once all is delivered.

--- a/ochreflow/http/connection.py
+++ b/ochreflow/http/connection.py
@@ -158,7 +158,8 @@
         self.was_paused = False  # since `Clients` last looked
         self.unread = False  # the client leaves answers unread
         self.slow: StallTimer | None = None
-        self.linger: StallTimer | None = None  # sending has ended: it closes as soon as its client does
+        self.linger: asyncio.TimerHandle | None = None  # sending has ended, the client's close is awaited
+        self.undelivered = 0  # bytes that its client's machine had not got when it began to linger
         self.end_delimits = False  # only its end delimits the answer that was last begun
         self.head_ended = False  # since `Clients` last looked
         self.looked_at = 0  # size of the body when `Clients` last looked
@@ -306,7 +307,7 @@
         if self.slow is not None:
             self.slow.stop()
         if self.linger is not None:
-            self.linger.stop()
+            self.linger.cancel()
         self.engine.memory.release(self.held_size)
         self.held_size = 0
         call, self.current = self.current, None
@@ -616,8 +617,8 @@
         """Close once what was written has gone, in a way that lets the client read it."""
         if self.transport is None or self.transport.is_closing():
             return
-        self._drop_waiting()
         if not self.deaf and self.skipping and self.begun:
+            self._drop_waiting()
             self.ending = True
         else:
             self._end_sending()
@@ -638,6 +639,7 @@
         """
         if self.transport is None or self.transport.is_closing() or self.linger is not None:
             return
+        self._drop_waiting()
         rest_comes = self.deaf or (self.skipping and self.begun)
         self.deaf = True
         if rest_comes:
@@ -652,12 +654,15 @@
 
     def _linger(self) -> None:
         assert self.transport is not None
-        waiting = partial(unacknowledged, self.transport)
-        self.linger = StallTimer(self.engine.loop, waiting, LINGER, self._linger_no_more)
+        self.undelivered = unacknowledged(self.transport)
+        self.linger = self.engine.loop.call_later(LINGER, self._linger_no_more)
 
     def _linger_no_more(self) -> None:
-        if self.unread:
-            self._linger()  # a client that is slow to read has a time of its own
+        assert self.transport is not None
+        # A slow client may go on reading. One that takes nothing of what waits to be written has a time of
+        # its own, `Times.slow_reader`.
+        if self.unread or 0 < unacknowledged(self.transport) < self.undelivered:
+            self._linger()
         else:
             self.close()
 
--- a/tests/test_read_then_closed.py
+++ b/tests/test_read_then_closed.py
@@ -31,6 +31,7 @@
 from ochreflow.http import connection
 from ochreflow.http.connection import WAITING_MOST, ClientConnection
 from ochreflow.http.progress import unacknowledged
+from ochreflow.policy.interface import Status
 
 LONG = b"a" * (HOLD_MOST * 3 // 4)  # an answer that is held until it is whole
 NARROW = 4096  # bytes that a client's machine takes before its application reads
@@ -325,6 +326,57 @@
     run(play())
 
 
+def test_what_waits_behind_an_answer_that_breaks_off_is_not_sent_on(tmp_path):
+    """No answer could follow: also once a client that is slow to read has taken what there is."""
+
+    async def play():
+        async def answer_in_part(got, reader, writer):
+            if got.headers["x-request-id"] == "first":
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + bytes(3 * HOLD_MOST))
+            await reader.read()
+
+        fakes = [await Fake(answer_in_part).start() for _ in range(4)]  # so that one is left to send to
+        async with sidecar_before(tmp_path, *fakes) as sidecar:
+            client = connect_narrow(sidecar.port)
+            await until(lambda: sidecar.http.clients.all)
+            front = front_of(sidecar, client)
+            front.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, NARROW)
+            client.sendall(message("order", "first") + message("order", "second", "3000m", bytes(1000)))
+            await until(lambda: front.unread)
+            (attempt,) = sidecar.engine.attempts.values()
+            attempt.carriage.give_up(Status.CANCELLED)
+            assert front.unread and not front.current
+            data, _ = await receive(client)
+            assert data.count(b"HTTP/1.1") == 1 and len(data) < 1_000_000
+            assert not front.current and not front.waiting
+            client.close()
+            await until(lambda: not sidecar.http.clients.all)
+            assert [ident for fake in fakes for ident in ids(fake)] == ["first"]
+            assert sidecar.engine.memory.held == 0
+
+    run(play())
+
+
+def test_a_client_that_does_not_close_after_its_last_answer_is_let_go(tmp_path, monkeypatch):
+    """One look is enough where its machine has all: the time to linger does not begin anew."""
+    monkeypatch.setattr(connection, "LINGER", 0.3)
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with sidecar_before(tmp_path, fake) as sidecar:
+            client = connect(sidecar.port)
+            client.sendall(message("order", "last", "3000m", b"", "Connection: close"))
+            await until(lambda: any(front.lingering for front in sidecar.http.clients.all))
+            rang = asyncio.get_running_loop().create_future()
+            # Bells ring in the order of their times, and its own was set before.
+            asyncio.get_running_loop().call_later(connection.LINGER + 0.05, rang.set_result, None)
+            await rang
+            assert not sidecar.http.clients.all
+            client.close()
+
+    run(play())
+
+
 def test_a_slow_client_can_tell_that_an_answer_without_a_length_was_cut(tmp_path):
     async def play():
         async def endless(got, reader, writer):
