Search for duplicated effects on real sockets: ochreflow lab duplicates

Need: the users saw an unsafe request sent again, once, with a handful of processes; nothing in the suite could see such a thing across processes.

Two to five sidecars are played on loopback among servers that act while a request is partly written and then read on, restart, drain, move and accept late; sidecars are signalled and frozen, clients leave. All is drawn from the seed. A judge counts each whole copy at any server and each final answer or close at the client, for safe, keyed (each scope and window) and unsafe requests.

--- a/ochreflow/cli/main.py
+++ b/ochreflow/cli/main.py
@@ -12,6 +12,7 @@
 import click
 
 from .. import __version__
+from .duplicates import duplicates
 
 if TYPE_CHECKING:
     from ..lab.runs import Player
@@ -270,6 +271,9 @@
     return run(list(fleets), slow, unequal, seeds, jobs, program)
 
 
+lab.add_command(duplicates)
+
+
 @lab.command(epilog=_example("ochreflow lab fault --to 127.0.0.1:7070 --script faults.toml --seed 7"))
 @click.option("--to", "target", metavar="ADDRESS", required=True, help="Where traffic goes on.")
 @click.option("--listen", metavar="ADDRESS", default="127.0.0.1:0", show_default=True)
--- /dev/null
+++ b/ochreflow/lab/duplicates/client.py
@@ -0,0 +1,209 @@
+"""The clients of the sidecars: each request on a kept connection if one is free, as the protocol has it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections import defaultdict
+from collections.abc import Callable
+from enum import Enum, auto
+from typing import cast
+
+import httptools
+
+from ..stage import HOST
+from .classes import Effect
+from .events import Answered, Closed, Left, Written
+from .plan import Ask
+from .record import Record
+
+PATIENCE = 0.8  # seconds for which a client waits beyond its deadline
+CONNECT_WITHIN = 6.0  # seconds: a sidecar may take so long to end and come back
+CONNECT_AGAIN = 0.05  # seconds until a client tries again where nobody listens
+PIECE_PAUSE = 0.005  # seconds between the pieces of a request that is written slowly
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Ended(Enum):
+    """How a request ended for its client on one connection."""
+
+    ANSWERED = auto()
+    UNREAD = auto()  # closed without a byte of an answer: if it was a kept one, perhaps not read
+    CUT = auto()
+
+
+class ClientConnection(asyncio.Protocol):
+    """A connection to a sidecar, with at most one request on it."""
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.transport: asyncio.Transport | None = None
+        self.used = False  # an answer has come on it
+        self.code: asyncio.Future[int] | None = None  # of the request that is out
+        self.heard = False  # bytes of its answer have come
+        self.closed = False
+        self.left = False  # by the client itself
+        self.parser = httptools.HttpResponseParser(self)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        self.heard = True
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.abort()
+
+    def on_message_complete(self) -> None:
+        if self.code is not None and not self.code.done():
+            self.used = True
+            self.closed = self.closed or not self.parser.should_keep_alive()
+            self.code.set_result(self.parser.get_status_code())
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.closed = True
+        if self.code is not None and not self.code.done():
+            self.code.set_exception(ConnectionResetError())
+
+    def abort(self) -> None:
+        self.closed = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def leave(self, manner: str) -> None:
+        """Go away as the plan says."""
+        self.closed = self.left = True
+        assert self.transport is not None
+        if manner == "half_close":
+            self.transport.write_eof()
+            return
+        if manner == "reset":
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.transport.abort()
+
+
+class Clients:
+    """The clients of all sidecars."""
+
+    def __init__(
+        self, record: Record, address: Callable[[int], tuple[str, int]], killed_at: Callable[[int], float]
+    ) -> None:
+        self.record = record
+        self.address = address
+        self.killed_at = killed_at  # when a sidecar was last killed
+        self.idle: dict[int, list[ClientConnection]] = defaultdict(list)
+        self.connections = 0
+
+    async def ask(self, ask: Ask) -> None:
+        """Play one request to its end; once more where a kept connection ended as if it had not been read."""
+        fresh = False
+        while True:
+            try:
+                async with asyncio.timeout(CONNECT_WITHIN):
+                    connection = await self._connection(ask.sidecar, fresh)
+            except TimeoutError:
+                return
+            reused = connection.used
+            ended = await self._send(ask, connection)
+            if fresh or not reused or ended is not Ended.UNREAD:
+                return
+            fresh = True
+
+    async def _send(self, ask: Ask, connection: ClientConnection) -> Ended:
+        """Send it on a connection, and wait for what comes."""
+        loop = asyncio.get_running_loop()
+        began = self.record.now()
+        connection.heard = False
+        code = connection.code = loop.create_future()
+        leaving = None
+        if ask.leaves is not None:
+            leaving = loop.call_later(ask.leaves, self._leave, ask, connection)
+        try:
+            async with asyncio.timeout(ask.deadline + PATIENCE):
+                await self._write(ask, connection)
+                answered = await code
+            self.record.add(ask.id, Answered(self.record.now(), answered))
+            if not connection.closed:
+                self.idle[ask.sidecar].append(connection)
+            return Ended.ANSWERED
+        except ConnectionResetError:
+            if connection.left:
+                return Ended.CUT
+            killed = self.killed_at(ask.sidecar) >= began
+            self.record.add(ask.id, Closed(self.record.now(), connection.heard, killed))
+            return Ended.CUT if killed or connection.heard else Ended.UNREAD
+        except TimeoutError:
+            self.record.add(ask.id, Left(self.record.now(), "waited long enough"))
+            return Ended.CUT
+        finally:
+            if leaving is not None:
+                leaving.cancel()
+            connection.code = None
+            if connection.closed or code.cancelled() or not code.done():
+                connection.abort()
+
+    def _leave(self, ask: Ask, connection: ClientConnection) -> None:
+        if connection.code is not None and not connection.code.done() and not connection.closed:
+            self.record.add(ask.id, Left(self.record.now(), ask.manner))
+            connection.leave(ask.manner)
+
+    async def _connection(self, sidecar: int, fresh: bool) -> ClientConnection:
+        idle = self.idle[sidecar]
+        while idle and not fresh:
+            connection = idle.pop()
+            if not connection.closed:
+                return connection
+        loop = asyncio.get_running_loop()
+        while True:
+            with contextlib.suppress(OSError):
+                _, connection = await loop.create_connection(self._new, *self.address(sidecar))
+                return connection
+            await asyncio.sleep(CONNECT_AGAIN)
+
+    def _new(self) -> ClientConnection:
+        self.connections += 1
+        return ClientConnection(self.connections)
+
+    async def _write(self, ask: Ask, connection: ClientConnection) -> None:
+        transport = connection.transport
+        assert transport is not None
+        data = message(ask)
+        step = -(-len(data) // ask.pieces)
+        for begin in range(0, len(data), step):
+            if begin:
+                await asyncio.sleep(PIECE_PAUSE)
+            if connection.closed:
+                return
+            transport.write(data[begin : begin + step])
+        written = Written(self.record.now(), ask.sidecar, ask.cls.name, ask.size, connection.number)
+        self.record.add(ask.id, written)
+
+    def close(self) -> None:
+        for idle in self.idle.values():
+            for connection in idle:
+                connection.abort()
+
+
+def message(ask: Ask) -> bytes:
+    """The request as it goes over the wire."""
+    safe = ask.cls.effect is Effect.SAFE
+    head = [
+        f"{'GET' if safe else 'POST'} /{ask.cls.name}/part HTTP/1.1",
+        f"Host: {HOST}",
+        f"X-Request-Id: {ask.id}",
+        f"X-Deadline: {round(ask.deadline * 1000)}m",
+    ]
+    if ask.cls.effect is Effect.KEYED:
+        head.append(f"Idempotency-Key: key-of-{ask.id}")
+    body = b"x" * ask.size
+    if ask.chunked:
+        head.append("Transfer-Encoding: chunked")
+        body = b"%x\r\n%s\r\n" % (len(body), body) if body else b""
+        body += b"0\r\n\r\n"
+    elif not safe:
+        head.append(f"Content-Length: {ask.size}")
+    return "\r\n".join([*head, "", ""]).encode() + body
--- /dev/null
+++ b/ochreflow/lab/duplicates/events.py
@@ -0,0 +1,115 @@
+"""What happened to one request, as its client and the servers saw it, on one clock in seconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """Something that happened at a time."""
+
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Written(Event):
+    """The client handed the last byte of the request to the system."""
+
+    sidecar: int
+    cls: str
+    size: int  # of the body
+    connection: int
+
+    def __str__(self) -> str:
+        where = f"to sidecar {self.sidecar}, connection {self.connection}"
+        return f"client wrote {self.cls}, body {self.size} bytes, {where}"
+
+
+@dataclass(frozen=True, slots=True)
+class Copy(Event):
+    """A server read the last byte of an attempt: a whole copy of the request has reached it."""
+
+    attempt: int
+    server: int
+    began: float  # when its first byte was read
+    not_before: float  # its last byte came no sooner: the server's socket was seen empty then
+    size: int
+
+    def __str__(self) -> str:
+        waited = self.at - self.began
+        return f"COPY {self.attempt} is whole at server {self.server}: {self.size} bytes in {waited:.3f} s"
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun(Event):
+    """The server answered 503 or 504 with `X-Not-Run: 1`, and did not run the attempt."""
+
+    attempt: int
+
+    def __str__(self) -> str:
+        return f"attempt {self.attempt} is turned away, and never ran"
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded(Event):
+    """The attempt is over for its server: it has answered, or has seen the connection end."""
+
+    attempt: int
+
+    def __str__(self) -> str:
+        return f"attempt {self.attempt} is over for its server"
+
+
+@dataclass(frozen=True, slots=True)
+class ServerAction(Event):
+    """Something that a server did; told to readers, never judged."""
+
+    attempt: int
+    server: int
+    text: str
+
+    def __str__(self) -> str:
+        return f"server {self.server}, attempt {self.attempt}: {self.text}"
+
+
+@dataclass(frozen=True, slots=True)
+class Answered(Event):
+    """The client has the whole final answer."""
+
+    code: int
+
+    def __str__(self) -> str:
+        return f"client got {self.code}"
+
+
+@dataclass(frozen=True, slots=True)
+class Closed(Event):
+    """The sidecar's side ended the client's connection before the answer was whole."""
+
+    answer_begun: bool
+    killed: bool  # the sidecar was killed: it could not have answered
+
+    def __str__(self) -> str:
+        answer = "part of an answer" if self.answer_begun else "no answer"
+        return f"client's connection ended with {answer}{', the sidecar was killed' if self.killed else ''}"
+
+
+@dataclass(frozen=True, slots=True)
+class Left(Event):
+    """The client closed its connection, or its sending on it."""
+
+    manner: str
+
+    def __str__(self) -> str:
+        return f"client left: {self.manner}"
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble(Event):
+    """Something that happened to a sidecar or a server as a whole; told to readers, never judged."""
+
+    text: str
+
+    def __str__(self) -> str:
+        return self.text
--- /dev/null
+++ b/ochreflow/lab/duplicates/fleet.py
@@ -0,0 +1,259 @@
+"""The sidecars of a run as processes, and the directory that tells them of servers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from collections import defaultdict
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+from time import time
+
+from ..directory import Directory
+from ..ledger import Ledger
+from ..stage import HOST, KIND, MEANS, MS, START_WITHIN, ZONES
+from .plan import Plan, SidecarChange
+from .record import Record
+from .server import Server
+
+LISTENS = " listens at "
+KILL_AFTER_DEADLINE = 0.7  # seconds after SIGTERM and the longest deadline
+SECOND = 1_000_000_000
+DEBUG_LINES = '[log]\nlevel = "debug"\nper_second = 10000\n'
+STOPS_WITHIN = 0.003  # seconds until a process that gets SIGSTOP runs no more
+
+
+class FleetError(Exception):
+    """A sidecar did not start; the text says why."""
+
+
+class Fleet:
+    """Owns the processes. `program` is the checkout that their package is taken from."""
+
+    def __init__(
+        self,
+        plan: Plan,
+        folder: Path,
+        program: Path,
+        record: Record,
+        servers: list[Server],
+        with_debug_lines: bool = False,
+    ) -> None:
+        self.options = self._debug_options(folder) if with_debug_lines else ()
+        self.plan = plan
+        self.folder = folder.absolute()
+        self.program = program
+        self.record = record
+        self.servers = servers
+        self.ledger = Ledger(self.folder / "directory.jsonl")
+        self.directory = Directory(self.ledger, asyncio.get_running_loop())
+        self.directory_address = ""
+        self.processes: dict[int, asyncio.subprocess.Process] = {}
+        self.addresses: dict[int, tuple[str, int]] = {}
+        self.killed: dict[int, float] = {}
+        self.freezes: dict[int, int] = defaultdict(int)  # that last, by sidecar
+        self.starts = 0
+        self.ending: set[int] = set()  # sidecars that were told to end
+        self.crashed: list[str] = []
+
+    @staticmethod
+    def _debug_options(folder: Path) -> tuple[str, ...]:
+        """The command line of a sidecar that logs each attempt and verdict."""
+        path = (folder / "debug.toml").absolute()
+        path.write_text(DEBUG_LINES)
+        return ("--config", str(path))
+
+    # The directory
+
+    async def start(self) -> None:
+        """Start the directory and all sidecars."""
+        loop = asyncio.get_running_loop()
+        listening = await loop.create_server(self.directory.service.connection, HOST, 0)
+        self.directory_address = f"{HOST}:{listening.sockets[0].getsockname()[1]}"
+        for server in self.servers:
+            self.list(server)
+        await asyncio.gather(*(self.start_sidecar(number) for number in range(self.plan.sidecars)))
+
+    def list(self, server: Server, status: str = "SERVING", since_ms: int = 0) -> None:
+        """Tell the directory how a server stands."""
+        self.directory.put(self._entry(server, status, since_ms))
+
+    def _entry(self, server: Server, status: str = "SERVING", since_ms: int = 0) -> dict[str, object]:
+        place = server.places[-1]
+        return {
+            "name": f"server-{server.number}",
+            "address": f"{HOST}:{server.port}",
+            "zone": ZONES[place.zone],
+            "type": KIND,
+            "group": place.cell,
+            "status": status,
+            "weight": 1.0,
+            "since_ms": since_ms,
+        }
+
+    # The sidecars
+
+    async def start_sidecar(self, number: int) -> None:
+        """Start one, at the address where it listened before."""
+        self.starts += 1
+        log = self.folder / f"sidecar-{number}-{self.starts}.log"
+        path = self.configure(number)
+        with log.open("wb") as file:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "ochreflow",
+                *self.options,
+                stdout=file,
+                stderr=file,
+                cwd=self.program,
+                env={**os.environ, "GW_CONFIG": str(path), "PYTHONPATH": str(self.program)},
+            )
+        self.processes[number] = process
+        async with asyncio.timeout(START_WITHIN):
+            while LISTENS not in (said := log.read_text(errors="replace")):
+                if process.returncode is not None:
+                    raise FleetError(f"sidecar {number} did not start: {said.strip()}")
+                await asyncio.sleep(0.01)
+        host, _, port = said.split(LISTENS)[1].split()[0].rpartition(":")
+        self.addresses[number] = (host, int(port))
+        self.ending.discard(number)
+
+    def configure(self, number: int) -> Path:
+        """Write the configuration of a sidecar."""
+        path = self.folder / f"sidecar-{number}.json"
+        path.write_text(json.dumps(self._configuration(number)))
+        return path
+
+    def _configuration(self, number: int) -> dict[str, object]:
+        host, port = self.addresses.get(number, (HOST, 0))
+        listed = [self._entry(server) for server in self.servers]
+        return {
+            "name": f"sidecar-{number}",
+            "listen": f"{host}:{port}",
+            "management": f"{HOST}:0",
+            "discovery": self.directory_address,
+            "seed": f"{self.plan.seed * 100 + number + 1:x}",
+            "limits": {"cores": 1.0, **MEANS},
+            "known": {"index": 0, "snapshot": True, "endpoints": listed},
+            "settings": self._settings(number),
+        }
+
+    def _settings(self, number: int) -> dict[str, object]:
+        plan = self.plan
+        classes = [
+            {
+                "name": cls.name,
+                "deadline-ns": round(cls.deadline * 1000) * MS,
+                "objective-ns": round(cls.deadline * 500) * MS,
+                "repeat": cls.effect.value,
+                "key-scope": cls.scope.value,
+                "window-ns": round(cls.window * 1000) * MS,
+                "points": 1.0,
+                "late-value": 0.0,
+                "stream": False,
+            }
+            for cls in plan.classes
+        ]
+        return {
+            "accounts": [],
+            "ceilings": {
+                "cancel": True,
+                "conn-idle-ns": 60 * SECOND,
+                "connect-timeout-ns": round(plan.connect_timeout * 1000) * MS,
+                "max-retry-after-ns": 2 * SECOND,
+                "retry-after": True,
+                "second-copies": plan.second_copies,
+                "send-cap": plan.attempts_most,
+            },
+            "classes": classes,
+            "dcs": ZONES,
+            "kinds": [KIND],
+            "my-zone": number % len(ZONES),
+            "index": number,
+            "discovery": "ask",
+            "fleet-size": plan.sidecars,
+            "rules": {
+                "must-ask-in-ns": 10 * SECOND,
+                "drain-grace-ns": 500 * MS,
+                "start-capacity": 0.9,
+                "warm-within-ns": SECOND,
+                "overload-factor": 50.0,
+                "overload-for-ns": 3 * SECOND,
+            },
+            "tick-ns": 5 * MS,
+        }
+
+    @asynccontextmanager
+    async def frozen(self, number: int) -> AsyncIterator[None]:
+        """Keep a sidecar from running; several who want that at once share it."""
+        self.freezes[number] += 1
+        self._signal(number, signal.SIGSTOP)
+        try:
+            await asyncio.sleep(STOPS_WITHIN)
+            yield
+        finally:
+            self.freezes[number] -= 1
+            if not self.freezes[number]:
+                self._signal(number, signal.SIGCONT)
+
+    def _signal(self, number: int, which: signal.Signals) -> None:
+        process = self.processes.get(number)
+        if process is not None and process.returncode is None:
+            with suppress(ProcessLookupError):
+                process.send_signal(which)
+
+    async def change(self, number: int, change: SidecarChange, seconds: float) -> None:
+        """Do something to a sidecar; one that ends is started again."""
+        if change is SidecarChange.FREEZE:
+            async with self.frozen(number):
+                await asyncio.sleep(seconds)
+            return
+        self.record.trouble(f"sidecar {number} gets {change.value}")
+        if change is SidecarChange.HUP:
+            self.configure(number)
+            self._signal(number, signal.SIGHUP)
+            return
+        self.ending.add(number)
+        process = self.processes[number]
+        if change is SidecarChange.KILL:
+            await self._kill(number)
+        else:
+            self._signal(number, signal.SIGTERM)
+            longest = max(cls.deadline for cls in self.plan.classes)
+            try:
+                await asyncio.wait_for(process.wait(), longest + KILL_AFTER_DEADLINE)
+                self.record.trouble(f"sidecar {number} has ended")
+            except TimeoutError:
+                await self._kill(number)
+        await self.start_sidecar(number)
+        self.record.trouble(f"sidecar {number} is back")
+
+    async def _kill(self, number: int) -> None:
+        self.killed[number] = self.record.now()
+        self._signal(number, signal.SIGKILL)
+        await self.processes[number].wait()
+        self.record.trouble(f"sidecar {number} was killed")
+
+    def killed_at(self, number: int) -> float:
+        """When a sidecar was last killed."""
+        return self.killed.get(number, -1.0)
+
+    async def stop(self) -> None:
+        """End all that was started."""
+        for number, process in self.processes.items():
+            if process.returncode is not None and number not in self.ending:
+                self.crashed.append(f"sidecar {number} ended by itself: exit code {process.returncode}")
+            self._signal(number, signal.SIGKILL)
+        for process in self.processes.values():
+            await process.wait()
+        self.directory.close()
+        self.ledger.close()
+
+    def restarted(self, server: Server) -> None:
+        """Tell the directory of a server that has just started anew."""
+        self.list(server, since_ms=int(time() * 1000))
--- /dev/null
+++ b/tests/test_duplicate_search.py
@@ -0,0 +1,316 @@
+"""The search for duplicated effects: its judge, its plans, its command, and a small fixed part of it."""
+
+import textwrap
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from ochreflow.cli.main import main
+from ochreflow.lab.duplicates import search as searching
+from ochreflow.lab.duplicates.classes import Effect, RequestClass, Scope
+from ochreflow.lab.duplicates.events import Answered, AttemptEnded, Closed, Copy, Left, NotRun
+from ochreflow.lab.duplicates.judge import Kind, Place, judge
+from ochreflow.lab.duplicates.plan import Act, Ask, Crossing, ServerPlan, Treatment, draw
+from ochreflow.lab.duplicates.play import play
+
+ROOT = Path(__file__).resolve().parents[1]
+UNSAFE = RequestClass("order", Effect.UNSAFE, 1.0)
+SAFE = RequestClass("lookup", Effect.SAFE, 1.0)
+PLACES = {  # server: zone, cell; servers 1 and 2 share a cell, 1 to 3 a zone
+    1: Place(-1e9, 0, 0),
+    2: Place(-1e9, 0, 0),
+    3: Place(-1e9, 0, 1),
+    4: Place(-1e9, 1, 2),
+}
+
+
+def keyed(scope, window=1.0):
+    return RequestClass("hold", Effect.KEYED, 2.0, scope, window)
+
+
+def copy(at, attempt=0, server=1, began=None, not_before=None):
+    began = at if began is None else began
+    return Copy(at, attempt, server, began, at if not_before is None else not_before, 100)
+
+
+def kinds(cls, *events, second_copies=True, places=None):
+    def stood(server, begin, end):
+        return (places or {}).get(server, [PLACES[server]])
+
+    return [one.kind for one in judge(cls, events, stood, second_copies)]
+
+
+# The judge: second copies
+
+
+def test_one_copy_and_its_answer_keep_the_rule():
+    assert kinds(UNSAFE, copy(1.0), Answered(1.1, 200)) == []
+
+
+def test_a_second_copy_of_an_unsafe_request_breaks_it():
+    assert kinds(UNSAFE, copy(1.0), copy(1.2, 1, 2), Answered(1.3, 200)) == [Kind.SECOND_COPY]
+
+
+def test_a_copy_that_becomes_whole_after_the_repeat_began_breaks_it():
+    late = copy(1.5, 0, 1, began=1.0)
+    assert kinds(UNSAFE, late, copy(1.2, 1, 2), Answered(1.3, 200)) == [Kind.SECOND_COPY]
+
+
+def test_a_copy_that_was_turned_away_before_may_be_repeated():
+    events = (copy(1.0), NotRun(1.1, 0), copy(1.2, 1, 2), Answered(1.3, 200))
+    assert kinds(UNSAFE, *events) == []
+
+
+def test_a_copy_that_is_turned_away_only_after_the_repeat_may_not():
+    events = (copy(1.0), copy(1.2, 1, 2), NotRun(1.25, 0), Answered(1.3, 200))
+    assert kinds(UNSAFE, *events) == [Kind.SECOND_COPY]
+
+
+def test_an_attempt_turned_away_in_part_counts_for_nothing_when_the_rest_of_it_comes():
+    rest = copy(1.5, 0, 1, began=1.0)
+    assert kinds(UNSAFE, NotRun(1.1, 0), copy(1.2, 1, 2), rest, Answered(1.3, 200)) == []
+
+
+def test_all_earlier_copies_must_have_been_turned_away():
+    events = (copy(1.0), NotRun(1.1, 0), copy(1.2, 1, 2), copy(1.4, 2, 3), Answered(1.5, 200))
+    assert kinds(UNSAFE, *events) == [Kind.SECOND_COPY]
+
+
+def test_a_safe_request_may_be_repeated_and_refused():
+    assert kinds(SAFE, copy(1.0), copy(1.2, 1, 4), Answered(1.3, 503)) == []
+
+
+@pytest.mark.parametrize(
+    ("scope", "server", "broken"),
+    [
+        (Scope.ALL, 4, False),
+        (Scope.ZONE, 3, False),
+        (Scope.ZONE, 4, True),
+        (Scope.CELL, 2, False),
+        (Scope.CELL, 3, True),
+        (Scope.CELL, 4, True),
+    ],
+)
+def test_a_keyed_request_may_be_repeated_in_its_group_only(scope, server, broken):
+    found = kinds(keyed(scope), copy(1.0), copy(1.2, 1, server), Answered(1.3, 200))
+    assert found == ([Kind.OUTSIDE_GROUP] if broken else [])
+
+
+def test_either_group_of_a_server_that_moved_between_the_copies_will_do():
+    moved = {3: [PLACES[3], Place(1.1, 0, 0)]}
+    assert kinds(keyed(Scope.CELL), copy(1.0), copy(1.2, 1, 3), places=moved) == []
+
+
+@pytest.mark.parametrize(("apart", "broken"), [(0.9, False), (1.04, False), (1.06, True)])
+def test_a_keyed_request_may_be_repeated_in_its_window_and_the_slack_only(apart, broken):
+    found = kinds(keyed(Scope.ALL), copy(1.0), copy(1.0 + apart, 1, 2))
+    assert found == ([Kind.OUTSIDE_WINDOW] if broken else [])
+
+
+def test_the_window_begins_with_the_first_byte_of_the_first_copy():
+    assert kinds(keyed(Scope.ALL), copy(1.5, began=1.0), copy(2.1, 1, 2)) == [Kind.OUTSIDE_WINDOW]
+
+
+def test_a_copy_that_is_read_late_counts_as_of_when_it_may_have_come():
+    assert kinds(keyed(Scope.ALL), copy(1.0), copy(3.0, 1, 2, not_before=1.9)) == []
+
+
+def test_a_copy_that_was_turned_away_begins_no_window():
+    events = (copy(1.0), NotRun(1.1, 0), copy(2.5, 1, 4), Answered(2.6, 200))
+    assert kinds(keyed(Scope.CELL), *events) == []
+
+
+def test_a_second_copy_while_one_is_out_breaks_it_where_the_settings_forbid_that():
+    both = (copy(1.0), copy(1.2, 1, 2), AttemptEnded(1.4, 0))
+    assert kinds(SAFE, *both, second_copies=False) == [Kind.OVERLAP]
+    assert kinds(SAFE, *both, second_copies=True) == []
+
+
+def test_a_second_copy_after_the_first_ended_is_none_beside_it():
+    assert kinds(SAFE, copy(1.0), AttemptEnded(1.1, 0), copy(1.2, 1, 2), second_copies=False) == []
+
+
+# The judge: final answers and closes
+
+
+@pytest.mark.parametrize("code", [429, 503])
+@pytest.mark.parametrize("cls", [UNSAFE, keyed(Scope.ZONE), keyed(Scope.CELL)])
+def test_a_refusal_of_what_may_have_run_breaks_it(cls, code):
+    assert kinds(cls, copy(1.0), Answered(1.3, code)) == [Kind.REFUSED]
+
+
+def test_a_refusal_of_what_becomes_whole_later_breaks_it():
+    assert kinds(UNSAFE, Answered(1.3, 503), copy(1.5, began=1.0)) == [Kind.REFUSED]
+
+
+def test_a_refusal_breaks_nothing_where_no_copy_came_or_all_were_turned_away():
+    assert kinds(UNSAFE, Answered(1.3, 503)) == []
+    assert kinds(UNSAFE, copy(1.0), NotRun(1.1, 0), Answered(1.3, 503)) == []
+    assert kinds(keyed(Scope.ALL), copy(1.0), Answered(1.3, 503)) == []
+
+
+def test_a_proof_that_comes_after_the_refusal_is_too_late():
+    assert kinds(UNSAFE, copy(1.0), Answered(1.3, 503), NotRun(1.4, 0)) == [Kind.REFUSED]
+
+
+@pytest.mark.parametrize("code", [200, 409, 500, 502, 504])
+def test_an_answer_that_invites_to_nothing_keeps_the_rule(code):
+    assert kinds(UNSAFE, copy(1.0), Answered(1.3, code)) == []
+
+
+def test_a_silent_close_of_what_may_have_run_breaks_it():
+    assert kinds(UNSAFE, copy(1.0), Closed(1.3, answer_begun=False, killed=False)) == [Kind.SILENT_CLOSE]
+
+
+@pytest.mark.parametrize("closed", [Closed(1.3, True, False), Closed(1.3, False, True)])
+def test_a_close_in_an_answer_or_of_a_killed_sidecar_is_excused(closed):
+    assert kinds(UNSAFE, copy(1.0), closed) == []
+
+
+def test_nothing_is_an_invitation_to_a_client_that_has_left():
+    events = (copy(1.0), Left(1.1, "close"), Closed(1.2, False, False), Answered(1.3, 503))
+    assert kinds(UNSAFE, *events) == []
+
+
+# Plans
+
+
+def test_the_same_seed_draws_the_same_plan_and_treatments():
+    one, other = (draw(7, 5.0, frozenset(Crossing)) for _ in range(2))
+    assert one == other
+    assert one != draw(8, 5.0, frozenset(Crossing))
+    forwards = [one.treatment(ask, 0) for ask in one.asks]
+    backwards = [other.treatment(ask, 0) for ask in reversed(other.asks)]
+    assert forwards == backwards[::-1]
+
+
+def test_plans_leave_out_what_they_are_told_to():
+    plan = draw(7, 5.0, frozenset())
+    assert not plan.server_steps and not plan.sidecar_steps and not plan.bursts
+    treatments = [plan.treatment(ask, 0) for ask in plan.asks]
+    assert not any(one.early or one.second is not None or one.frozen is not None for one in treatments)
+    assert not any(ask.leaves is not None for ask in plan.asks)
+
+
+def test_plans_draw_every_fault_and_every_class():
+    plans = [draw(seed, 5.0, frozenset(Crossing)) for seed in range(20)]
+    acts = {plan.treatment(ask, 0).act for plan in plans for ask in plan.asks}
+    assert acts == set(Act)
+    assert {ask.cls.scope for plan in plans for ask in plan.asks} == set(Scope)
+    assert {ask.cls.effect for plan in plans for ask in plan.asks} == set(Effect)
+
+
+# The command
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ["--runs", "0"],
+        ["--seed", "-1"],
+        ["--seed", "one"],
+        ["--seconds", "1"],
+        ["--seconds", "nan"],
+        ["--seconds", "inf"],
+        ["--jobs", "0"],
+        ["--without", "sunshine"],
+        ["--build", "/nowhere/at/all"],
+        ["--keep", __file__],
+        ["more"],
+    ],
+)
+def test_what_cannot_be_searched_is_one_line_and_starts_nothing(arguments, capsys, monkeypatch):
+    monkeypatch.setattr(searching, "play", lambda *_: pytest.fail("it played"))
+    assert main(["lab", "duplicates", *arguments]) == 2
+    said = capsys.readouterr()
+    assert said.out == ""
+    assert len(said.err.splitlines()) == 1
+
+
+# On sockets. A program that sends each request to two servers has to be found out.
+
+TWICE = """
+    import asyncio, json, os
+
+    async def put(address, data):
+        reader, writer = await asyncio.open_connection(*address.split(":"))
+        writer.write(data)
+        head = await reader.readuntil(b"\\r\\n\\r\\n")
+        writer.close()
+        return head.split()[1]
+
+    async def serve(reader, writer):
+        while True:
+            head = await reader.readuntil(b"\\r\\n\\r\\n")
+            length = [line for line in head.lower().split(b"\\r\\n") if line.startswith(b"content-length:")]
+            body = await reader.readexactly(int(length[0].split(b":")[1])) if length else b""
+            servers = [entry["address"] for entry in config["known"]["endpoints"]][:2]
+            codes = [await put(server, head + body) for server in servers]
+            writer.write(b"HTTP/1.1 %s X\\r\\nContent-Length: 0\\r\\n\\r\\n" % codes[0])
+
+    async def run():
+        host, port = config["listen"].split(":")
+        server = await asyncio.start_server(serve, host, int(port))
+        print("twice listens at %s:%d" % server.sockets[0].getsockname(), flush=True)
+        await server.serve_forever()
+
+    config = json.load(open(os.environ["GW_CONFIG"]))
+    asyncio.run(run())
+"""
+ALONE = ["--without", "early", "--without", "freeze", "--without", "sidecars", "--without", "servers"]
+
+
+def test_the_command_finds_a_program_that_sends_requests_twice(tmp_path, capsys):
+    package = tmp_path / "ochreflow"
+    package.mkdir()
+    (package / "__main__.py").write_text(textwrap.dedent(TWICE))
+    arguments = ["--build", str(tmp_path), "--seed", "3", "--seconds", "2", *ALONE, "--without", "bursts"]
+    assert main(["lab", "duplicates", *arguments]) == 1
+    said = capsys.readouterr().out
+    assert "a second whole copy" in said
+    assert "Events of " in said and "COPY 1 is whole" in said
+    assert "1 of 1 runs broke the rule: 3" in said
+
+
+PARTLY = 65536  # bytes of a body of which the system takes some 48,000 while its server reads nothing
+UNREAD = ServerPlan(zone=0, cell=0, receive_buffer=4096, segment=1460)
+
+
+def partly_written(act):
+    """Requests that a server ends while they are partly written, in a turn in which the rest could go out."""
+    plan = draw(1, 2.0, frozenset())
+    order = replace(plan.classes[1], deadline=1.5)
+    asks = tuple(
+        Ask(0.1 + number * 0.1, f"{number + 1:016x}", number % 2, order, PARTLY, False, 1.5, 1, None, "")
+        for number in range(8)
+    )
+    treatment = Treatment(act, early=True, work=0.02, frozen=0.0, drained=True)
+    classes = (plan.classes[0], order, *plan.classes[2:])
+    return replace(
+        plan,
+        sidecars=2,
+        second_copies=False,
+        attempts_most=3,
+        connect_timeout=0.25,
+        classes=classes,
+        servers=(UNREAD,) * 4,
+        asks=asks,
+        fixed=(treatment,),
+    )
+
+
+@pytest.mark.parametrize("act", [Act.HALF_CLOSE, Act.GARBAGE])
+def test_what_is_partly_written_when_its_server_ends_is_not_sent_again(act):
+    result = play(partly_written(act), ROOT)
+    assert [searching.story(failure) for failure in result.failures] == []
+    assert result.crashed == []
+    assert result.copies >= len(partly_written(act).asks)  # the rest did come, or nothing was tried
+
+
+@pytest.mark.parametrize("seed", [2, 10])
+def test_no_drawn_run_breaks_the_rule(seed):
+    result = play(draw(seed, 2.5, frozenset(Crossing)), ROOT)
+    assert [searching.story(failure) for failure in result.failures] == []
+    assert result.crashed == []
+    assert result.requests > 100
