Open a connection where several requests would wait for settled ones

Cause: Upstreams._find_connection (http/upstream.py:92) had each unsafe request wait for an idle connection to settle, up to 50 ms.

Change: at each server one request waits, the others go out on new connections, so that the pool grows to what the traffic needs: the requests of a settling time. With no descriptor free they wait. The search for a settled connection halves the list in place of walking it.

--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -94,11 +94,15 @@
         while target.idle:
             connection = self._take_idle(target)
             if not self._may_carry(connection, exchange):
+                # One waits; where several would, the connections are too few for the requests.
+                if target.settling and not self.descriptors.full:
+                    self._return_idle(connection)
+                    break
                 self._send_when_settled(connection, exchange)
                 return
             result = self._try_send(connection, exchange)
             if result is SendResult.REJECTED:
-                bisect.insort(target.idle, connection, key=lambda idle: idle.idle_since)
+                self._return_idle(connection)
                 self.loop.call_soon(exchange.end, Status.MOOT)
             if result is not SendResult.DEAD:
                 return
@@ -108,10 +112,15 @@
     @staticmethod
     def _take_idle(target: Target) -> Connection:
         """The most recently used connection that is settled, else the one that has been idle longest."""
-        for place in reversed(range(len(target.idle))):
-            if target.idle[place].settled:
-                return target.idle.pop(place)
-        return target.idle.pop(0)
+        if target.idle[-1].settled:
+            return target.idle.pop()
+        settled = bisect.bisect_right(target.idle, False, key=lambda idle: not idle.settled)
+        return target.idle.pop(max(settled - 1, 0))
+
+    @staticmethod
+    def _return_idle(connection: Connection) -> None:
+        """Put a connection that was not used back in its place."""
+        bisect.insort(connection.target.idle, connection, key=lambda idle: idle.idle_since)
 
     @staticmethod
     def _may_carry(connection: Connection, exchange: Exchange) -> bool:
@@ -126,8 +135,10 @@
         """Wait with nothing sent on a connection: a second response that comes meanwhile closes it."""
         target = connection.target
         target.opening[exchange] = None
+        target.settling += 1
 
         def settled() -> None:
+            target.settling -= 1
             self.keep(connection)
             if exchange in target.opening:  # it was not sent there
                 del target.opening[exchange]
--- a/ochreflow/http/upstream_connection.py
+++ b/ochreflow/http/upstream_connection.py
@@ -51,6 +51,7 @@
         self.accepts_requests = True
         self.idle: list[Connection] = []  # by `idle_since`, the most recently used last
         self.opening: dict[Exchange, None] = {}  # exchanges that wait for a connection, in their order
+        self.settling = 0  # of these, those that wait for an idle connection to settle
 
 
 class Connection:
--- a/tests/test_second_answer.py
+++ b/tests/test_second_answer.py
@@ -94,13 +94,21 @@
 
     async def served(self):
         """The server's side of a connection that has just carried one answer."""
-        _, end = self.start(safe=True)
-        server = await self.accept()
-        await self.read(server)
-        server.sendall(reply())
-        assert await end == (Status.OK, b"ok")
+        (server,) = await self.all_served(1)
         return server
 
+    async def all_served(self, count):
+        """The same of several connections, in the order in which they have become idle."""
+        ends, servers = [], []
+        for _ in range(count):
+            ends.append(self.start(safe=True)[1])
+            servers.append(await self.accept())
+            await self.read(servers[-1])
+        for server, end in zip(servers, ends, strict=True):
+            server.sendall(reply())
+            assert await end == (Status.OK, b"ok")
+        return servers
+
     def close(self):
         self.pool.close()
         self.listener.close()
@@ -178,12 +186,7 @@
 
     async def play():
         stage = Stage()
-        ends = [stage.start(safe=True)[1] for _ in range(2)]
-        servers = [await stage.accept() for _ in range(2)]
-        for server, end in zip(servers, ends, strict=True):
-            await stage.read(server)
-            server.sendall(reply())
-            assert (await end)[0] is Status.OK
+        servers = await stage.all_served(2)
         stage.idle[0].answered_at -= NEVER
         for safe in (True, False):
             _, end = stage.start(safe)
@@ -196,6 +199,25 @@
     run(play())
 
 
+def test_one_request_waits_for_a_connection_to_settle_and_others_open_new_ones(settling_time):
+    """Else few connections would bound the requests of many clients: one for each settling time."""
+    settling_time(AWHILE)
+
+    async def play():
+        stage = Stage()
+        first, *_ = await stage.all_served(3)
+        ends = [stage.start(safe=False)[1] for _ in range(3)]
+        others = [await stage.accept() for _ in range(2)]
+        for server in (*others, first):
+            await stage.read(server)
+            server.sendall(REAL)
+        assert [await end for end in ends] == [SERVED] * 3
+        assert len(stage.pool.connections) == 5
+        stage.close()
+
+    run(play())
+
+
 @pytest.mark.parametrize("how", ["given up", "drain"])
 def test_a_request_that_ends_while_it_waits_is_never_written(how, settling_time):
     settling_time(AWHILE)
