--- a/ochreflow/lab/duplicates/attempts.py
+++ b/ochreflow/lab/duplicates/attempts.py
@@ -10,12 +10,13 @@
 
 READ_MOST = 16 * 1024
 SIP = 1024  # bytes read at a time where the rest is to stay with the sender
+LOOP_LAG = 0.02  # seconds that may pass from the arrival of bytes until a waiting reader sees them
 
 
 class AttemptReader:
     """Reads one request from a connection, and knows when its last byte came."""
 
-    def __init__(self, sock: socket.socket, now: Callable[[], float]) -> None:
+    def __init__(self, sock: socket.socket, now: Callable[[], float], empty_at: float) -> None:
         self.sock = sock
         self.now = now
         self.parser = httptools.HttpRequestParser(self)
@@ -25,7 +26,7 @@
         self.whole = False
         self.size = 0  # of the body, as far as it has come
         self.began = -1.0  # when its first byte was read
-        self.empty_at = now()  # when the socket was last seen empty
+        self.empty_at = empty_at  # what was read last came no sooner
 
     async def read(self, most: int = READ_MOST) -> bool:
         """Take what comes next; False once the peer has ended or reset the connection."""
@@ -33,8 +34,8 @@
             try:
                 data = self.sock.recv(most)
             except BlockingIOError:
-                self.empty_at = self.now()
                 data = await asyncio.get_running_loop().sock_recv(self.sock, most)
+                self.empty_at = self.now() - LOOP_LAG
         except OSError:
             return False
         return self._feed(data)
--- a/ochreflow/lab/duplicates/events.py
+++ b/ochreflow/lab/duplicates/events.py
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Written(Event):
-    """The client handed the last byte of the request to the system."""
+    """The client began to write the request."""
 
     sidecar: int
     cls: str
@@ -23,7 +23,7 @@
 
     def __str__(self) -> str:
         where = f"to sidecar {self.sidecar}, connection {self.connection}"
-        return f"client wrote {self.cls}, body {self.size} bytes, {where}"
+        return f"client writes {self.cls}, body {self.size} bytes, {where}"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_duplicate_search.py
+++ b/tests/test_duplicate_search.py
@@ -9,7 +9,7 @@
 from ochreflow.cli.main import main
 from ochreflow.lab.duplicates import search as searching
 from ochreflow.lab.duplicates.classes import Effect, RequestClass, Scope
-from ochreflow.lab.duplicates.events import Answered, AttemptEnded, Closed, Copy, Left, NotRun
+from ochreflow.lab.duplicates.events import Answered, AttemptEnded, Closed, Copy, Left, NotRun, Written
 from ochreflow.lab.duplicates.judge import Kind, Place, judge
 from ochreflow.lab.duplicates.plan import Act, Ask, Crossing, ServerPlan, Treatment, draw
 from ochreflow.lab.duplicates.play import play
@@ -131,6 +131,11 @@
     assert kinds(SAFE, copy(1.0), AttemptEnded(1.1, 0), copy(1.2, 1, 2), second_copies=False) == []
 
 
+def test_a_copy_of_which_the_server_read_the_rest_later_may_have_been_given_up_before():
+    late = copy(1.4, 0, 1, began=1.0)
+    assert kinds(SAFE, late, copy(1.2, 1, 2), AttemptEnded(1.4, 0), second_copies=False) == []
+
+
 # The judge: final answers and closes
 
 
@@ -168,6 +173,12 @@
     assert kinds(UNSAFE, copy(1.0), closed) == []
 
 
+def test_a_close_that_crossed_a_request_is_not_held_against_what_is_sent_once_more():
+    closed, again = Closed(1.3, answer_begun=False, killed=False), Written(1.4, 0, "order", 100, 2)
+    assert kinds(UNSAFE, closed, again, copy(1.5), Answered(1.6, 200)) == []
+    assert kinds(UNSAFE, copy(1.2), closed, again, Answered(1.6, 409)) == [Kind.SILENT_CLOSE]
+
+
 def test_nothing_is_an_invitation_to_a_client_that_has_left():
     events = (copy(1.0), Left(1.1, "close"), Closed(1.2, False, False), Answered(1.3, 503))
     assert kinds(UNSAFE, *events) == []
@@ -273,6 +284,16 @@
     assert "1 of 1 runs broke the rule: 3" in said
 
 
+def test_a_build_that_does_not_start_is_one_line(tmp_path, capsys):
+    package = tmp_path / "ochreflow"
+    package.mkdir()
+    (package / "__main__.py").write_text("raise SystemExit('first line\\nno such thing')")
+    assert main(["lab", "duplicates", "--build", str(tmp_path)]) == 2
+    said = capsys.readouterr()
+    assert said.out == ""
+    assert len(said.err.splitlines()) == 1 and "no such thing" in said.err
+
+
 PARTLY = 65536  # bytes of a body of which the system takes some 48,000 while its server reads nothing
 UNREAD = ServerPlan(zone=0, cell=0, receive_buffer=4096, segment=1460)
 
