Judge overlapping copies only where the second surely came after the first

Change: a copy counts as beside an earlier one only if it came after that one was whole, by the earliest time at which it can have come.

--- a/ochreflow/lab/duplicates/judge.py
+++ b/ochreflow/lab/duplicates/judge.py
@@ -118,8 +118,8 @@
         if ended.get(later.attempt, later.at) < later.at:
             continue  # its server had done with it before it was whole
         for copy in copies[:number]:
-            # A server sees the end of a connection only once it has read all before it.
-            watched = copy.at <= later.at
+            # A server sees the end of a connection only once it has accepted it and read all before it.
+            watched = copy.at <= later.not_before
             if watched and ended.get(copy.attempt, later.at + 1.0) > later.at + SLACK:
                 text = f"copy {later.attempt} while copy {copy.attempt} was out"
                 found.append(Break(later.at, Kind.OVERLAP, text))
--- a/tests/test_duplicate_search.py
+++ b/tests/test_duplicate_search.py
@@ -136,6 +136,11 @@
     assert kinds(SAFE, late, copy(1.2, 1, 2), AttemptEnded(1.4, 0), second_copies=False) == []
 
 
+def test_a_copy_that_waited_unread_may_have_come_and_gone_before_the_other():
+    waited = copy(1.2, 1, 2, not_before=0.5)
+    assert kinds(SAFE, copy(1.0), waited, AttemptEnded(1.4, 0), second_copies=False) == []
+
+
 # The judge: final answers and closes
 
 
