Let no client that left the backlog take a place from those that stay

The flood closes; about 15 of it wait in the backlog, at their end the new client. The door accepts 4, 8, ... of them a turn, but the end of a connection is read only some turns after it was accepted, so the first three or four that had left held the places, and the new client was refused ("what is left is kept for known addresses").

Change: the acceptor looks whether an accepted client has ended its sending, or reset, with nothing unread; such a one is closed at once, without asking the gate, so it does not count in the rates of its address either. One call to the system for each connection.

A call to the directory stays open, so the process's own descriptors do not change meanwhile.

Not mended: a client that is let in and then leaves holds its place until its end is read, a few turns.

--- a/ochreflow/http/acceptor.py
+++ b/ochreflow/http/acceptor.py
@@ -1,7 +1,8 @@
 """Accepts the clients' connections where `[admission]` is on.
 
-Whom the gate refuses costs a descriptor for a moment and nothing else: no transport is made. While the system
-has no descriptor left, connections wait in the backlog; see `ochreflow.admission.door`.
+Whom the gate refuses costs a descriptor for a moment and nothing else: no transport is made. So does a client
+that left while it waited in the backlog, and the gate does not count it. While the system has no descriptor
+left, connections wait in the backlog; see `ochreflow.admission.door`.
 """
 
 from __future__ import annotations
@@ -55,6 +56,11 @@
         self.door.accepted(count)
 
     def _take(self, sock: socket.socket, host: str) -> None:
+        # Guards the places of those that stay: a client that has left would keep its place for some turns of
+        # the loop, and those behind it in the backlog would be refused.
+        if _left_unasked(sock):
+            sock.close()
+            return
         client = self.made()
         if not self.clients.admit(client, host):
             sock.close()
@@ -94,3 +100,13 @@
         else:
             self.loop.remove_reader(self.sock)
         self.sock.close()
+
+
+def _left_unasked(sock: socket.socket) -> bool:
+    """Whether the peer has ended its sending or reset the connection, and nothing that it sent is unread."""
+    try:
+        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except (BlockingIOError, InterruptedError):
+        return False
+    except OSError:
+        return True
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -3,13 +3,16 @@
 import asyncio
 import contextlib
 import errno
+import itertools
+import os
 import resource
 import signal
 import socket
-from itertools import pairwise
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from leaving import HOW, connect, leave
 from net_helpers import (
     HOST,
     Fake,
@@ -22,6 +25,7 @@
     news,
     read_message,
     run,
+    silent,
     until,
 )
 from test_operator_file import command
@@ -29,6 +33,7 @@
 
 from ochreflow.admission.door import FIRST, MOST, PAUSE_FIRST, PAUSE_MOST, SHORT, Door
 from ochreflow.admission.gate import HANDED, KNOWN_AT, Caps, Gate
+from ochreflow.http.acceptor import Acceptor
 
 GATED = '[operators]\nlisten = "127.0.0.1:0"\n[admission]\non = true\n'
 
@@ -43,7 +48,7 @@
     while not taken or taken[-1] < MOST:
         taken.append(door.may_accept(now))
         door.accepted(taken[-1])
-    assert taken[0] == FIRST and all(b <= 2 * a for a, b in pairwise(taken))
+    assert taken[0] == FIRST and all(b <= 2 * a for a, b in itertools.pairwise(taken))
 
 
 @given(st.lists(st.tuples(st.booleans(), st.floats(0.0, 1.0)), max_size=60))
@@ -122,31 +127,47 @@
     return made
 
 
-FEW = 60  # descriptors
+SPARE = 2  # descriptors, fewer than the gate gives to unknown addresses of the smallest sidecar
+
+
+@contextlib.asynccontextmanager
+async def gated_process(tmp_path):
+    """A process with the gate, whose own descriptors do not change: its call to the directory stays open."""
+    node = await Fake(answer_ok).start()
+    directory = await Fake(silent).start()
+    (tmp_path / "o.toml").write_text(GATED)
+    known = config(news(1, entry("a", node.address)), directory.address)
+    process = Process(tmp_path / "c", known)
+    process.arguments = ["--config", str(tmp_path / "o.toml")]
+    async with process:
+        await until(lambda: directory.got)
+        yield process
 
 
 def leave_few(process):
-    """Take the others from a process that runs: it counts with what it had at its start, and meets the lack.
+    """Take all descriptors but a few from a process that runs, so that it accepts in vain.
 
-    A limit that is low from the start is no way to have one accept in vain: it is counted with.
+    So few that it does not matter whether it has counted with the new limit yet, which it does ten times a
+    second: the gate lets in more unknown connections than there are descriptors, before as well as after.
     """
-    resource.prlimit(process.process.pid, resource.RLIMIT_NOFILE, (FEW, FEW))
+    ident = process.process.pid
+    in_use = {int(name) for name in os.listdir(f"/proc/{ident}/fd")}
+    free = (number for number in itertools.count() if number not in in_use)
+    *_, last = itertools.islice(free, SPARE)
+    limit = last + 1  # the limit is on the number of a new descriptor: higher ones that are open stay so
+    resource.prlimit(ident, resource.RLIMIT_NOFILE, (limit, limit))
 
 
 def test_without_descriptors_the_process_goes_on_answering_and_ends_as_planned(tmp_path):
     """A flood that the system's own limit stops: kept connections are answered, in a drain as well."""
 
     async def play():
-        node = await Fake(answer_ok).start()
-        (tmp_path / "o.toml").write_text(GATED)
-        process = Process(tmp_path / "c", config(news(1, entry("a", node.address))))
-        process.arguments = ["--config", str(tmp_path / "o.toml")]
-        async with process:
-            leave_few(process)
+        async with gated_process(tmp_path) as process:
             reader, writer = await asyncio.open_connection(HOST, process.port)
             for number in range(int(KNOWN_AT) + 1):
                 writer.write(message("lookup", f"a{number}"))
                 assert (await read_message(reader)).code == 200
+            leave_few(process)
             loop = asyncio.get_running_loop()
             flood = [from_address(f"127.1.{number}.1") for number in range(100)]
             for one in flood:
@@ -167,12 +188,10 @@
 
 
 def test_when_descriptors_come_back_new_clients_are_let_in(tmp_path):
+    """The first one too, behind all those of a flood that have left before they were accepted."""
+
     async def play():
-        node = await Fake(answer_ok).start()
-        (tmp_path / "o.toml").write_text(GATED)
-        process = Process(tmp_path / "c", config(news(1, entry("a", node.address))))
-        process.arguments = ["--config", str(tmp_path / "o.toml")]
-        async with process:
+        async with gated_process(tmp_path) as process:
             leave_few(process)
             loop = asyncio.get_running_loop()
             flood = [from_address(f"127.1.{number}.1") for number in range(100)]
@@ -186,6 +205,38 @@
     run(play())
 
 
+LEFT = 20  # clients in the backlog that have left
+PLACES = 4  # of them three for unknown addresses
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_clients_that_left_in_the_backlog_take_no_place_from_those_that_stay(tmp_path, how):
+    """All are connected before the loop turns, so they are found in the backlog at once, in their order."""
+
+    async def play():
+        node = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("a", node.address)))) as sidecar:
+            clients = sidecar.http.clients
+            clients.gate = Gate(Caps(), lambda: PLACES)
+            listening = socket.create_server((HOST, 0))
+            port = listening.getsockname()[1]
+            gone = [connect(port) for _ in range(LEFT)]
+            for one in gone:
+                leave(one, how)
+            stays = connect(port)
+            stays.sendall(message("order", "stays"))
+            loop = asyncio.get_running_loop()
+            sidecar.http.listen(Acceptor(loop, listening, sidecar.http.connection, clients))
+            reader, writer = await asyncio.open_connection(sock=stays)
+            assert (await read_message(reader)).code == 200
+            assert not clients.gate.refused
+            writer.close()
+            for one in gone:
+                one.close()
+
+    run(play())
+
+
 def test_books_are_handed_over_and_odd_ones_left_aside():
     old: Gate[int] = Gate(Caps(), lambda: 100)
     for key, times in ((1, 40), (2, 10), (3, 2)):
