--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -202,7 +202,7 @@
         self._use(connection, exchange)
 
     def _use(self, connection: Connection, exchange: Exchange) -> None:
-        """SendResult to use a connection that has come up, or has failed to."""
+        """Use a connection that has come up, or has failed to, for the exchange that it was made for."""
         if exchange.ended or exchange.connection is not None:  # it is over, or took one that came free
             self.keep(connection)
             return
