--- a/tests/test_unwritten.py
+++ b/tests/test_unwritten.py
@@ -215,9 +215,9 @@
 
 
 async def ended_in_one_poll(stage, reader, server, attempt, end):
-    """Let the server end the attempt and make room for its rest, both before the loop has a turn."""
-    end(server.connections[0])
+    """Let the server make room for the rest of an attempt that ends, both before the loop has a turn."""
     server.read()
+    end(server.connections[0])
     await until(lambda: attempt.carriage.ended)
     code = await stage.final(reader, server)
     copies = stage.whole_copies()
@@ -237,6 +237,27 @@
     run(play())
 
 
+GIVE_UPS = {
+    "time-out": lambda exchange: exchange.give_up(Status.TIMEOUT),
+    "cancelled": lambda exchange: exchange.give_up(Status.CANCELLED),
+    "window over": lambda exchange: exchange._on_write_timeout(),
+}
+
+
+@pytest.mark.parametrize("give_up", GIVE_UPS.values(), ids=GIVE_UPS)
+def test_an_attempt_that_is_given_up_half_written_is_never_completed(tmp_path, give_up):
+    """Its socket has room for the rest by then, and the loop has not polled it yet."""
+
+    async def play():
+        stage = Stage(tmp_path)
+        body = body_for()
+        async with stage, client(stage, message("order", body=body)) as (reader, _):
+            server, attempt = await stage.partly_written()
+            await ended_in_one_poll(stage, reader, server, attempt, lambda _: give_up(attempt.carriage))
+
+    run(play())
+
+
 @pytest.mark.parametrize("framing", ["length", "chunked"])
 @pytest.mark.parametrize("end", ENDS.values(), ids=ENDS)
 def test_a_body_that_flows_is_never_completed_after_its_attempt_has_ended(tmp_path, end, framing):
