Find repeats outside the first copy's group, and closes at clients that still read

The judge let either group of a server count that moved between two copies, moves were rare and kept the zone, and every half-close was played as a client that has left.

Change: the judge takes each copy with the group in which its server stood around that copy (still 2 s after a move). A quarter of the attempts keyed by zone or cell see their server move, to the group of another one, before it ends them. Clients also end their sending and wait. More requests are keyed by zone or cell, windows of 0.1 s are drawn, and half of the leaving clients leave within 50 ms. The judge's tests now honour the times of a server's groups; the test that either group of a server that moves before its own copy will do is kept.

--- a/ochreflow/lab/duplicates/client.py
+++ b/ochreflow/lab/duplicates/client.py
@@ -15,7 +15,7 @@
 
 from ..stage import HOST
 from .classes import Effect
-from .events import Answered, Closed, Left, Written
+from .events import Answered, Closed, Left, SendingEnded, Written
 from .plan import Ask
 from .record import Record
 
@@ -45,6 +45,7 @@
         self.code: asyncio.Future[int] | None = None  # of the request that is out
         self.heard = False  # bytes of its answer have come
         self.closed = False
+        self.wrote_all = False  # of the request that is out
         self.left = False  # by the client itself
         self.parser = httptools.HttpResponseParser(self)
 
@@ -74,6 +75,12 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def end_sending(self) -> None:
+        """Send nothing more, also no further request, and wait for the answer."""
+        self.closed = True
+        assert self.transport is not None
+        self.transport.write_eof()
+
     def leave(self, manner: str) -> None:
         """Go away as the plan says."""
         self.closed = self.left = True
@@ -117,7 +124,7 @@
     async def _send(self, ask: Ask, connection: ClientConnection) -> Ended:
         """Send it on a connection, and wait for what comes."""
         loop = asyncio.get_running_loop()
-        connection.heard = False
+        connection.heard = connection.wrote_all = False
         code = connection.code = loop.create_future()
         leaving = None
         if ask.leaves is not None:
@@ -147,9 +154,14 @@
                 connection.abort()
 
     def _leave(self, ask: Ask, connection: ClientConnection) -> None:
-        if connection.code is not None and not connection.code.done() and not connection.closed:
+        if connection.code is None or connection.code.done() or connection.closed:
+            return
+        if ask.manner != "end_sending":
             self.record.add(ask.id, Left(self.record.now(), ask.manner))
             connection.leave(ask.manner)
+        elif connection.wrote_all:
+            self.record.add(ask.id, SendingEnded(self.record.now()))
+            connection.end_sending()
 
     async def _connection(self, sidecar: int, fresh: bool) -> ClientConnection:
         idle = self.idle[sidecar]
@@ -181,6 +193,7 @@
             if connection.closed:
                 return
             transport.write(data[begin : begin + step])
+        connection.wrote_all = True
 
     def close(self) -> None:
         for idle in self.idle.values():
--- a/ochreflow/lab/duplicates/events.py
+++ b/ochreflow/lab/duplicates/events.py
@@ -105,6 +105,14 @@
         return f"client left: {self.manner}"
 
 
+@dataclass(frozen=True, slots=True)
+class SendingEnded(Event):
+    """The client ended its sending after the whole request, and waits for the answer; never judged."""
+
+    def __str__(self) -> str:
+        return "client has ended its sending, and waits for the answer"
+
+
 @dataclass(frozen=True, slots=True)
 class Trouble(Event):
     """Something that happened to a sidecar or a server as a whole; told to readers, never judged."""
--- a/ochreflow/lab/duplicates/judge.py
+++ b/ochreflow/lab/duplicates/judge.py
@@ -93,19 +93,20 @@
 
 
 def _same_group(scope: Scope, one: Copy, other: Copy, places: Places) -> bool:
-    """Whether both servers were in one group at some time around the two copies.
+    """Whether both servers were in one group, each as it stood around its own copy.
 
-    A server may change its group between them: which of both groups holds then is not held against anyone.
+    The servers that drop a repeat are those of the group in which the earlier copy was taken: a later move of
+    its server changes nothing. Of one that moves around its copy either group will do.
     """
     if scope is Scope.ALL:
         return True
-    begin, end = min(one.began, other.began) - TOLD_WITHIN, max(one.at, other.at)
 
-    def groups(server: int) -> set[int]:
-        stood = places(server, begin, end)
+    def groups(copy: Copy) -> set[int]:
+        sent_after = min(copy.began, copy.not_before) - TOLD_WITHIN
+        stood = places(copy.server, sent_after, copy.at)
         return {place.cell if scope is Scope.CELL else place.zone for place in stood}
 
-    return bool(groups(one.server) & groups(other.server))
+    return bool(groups(one) & groups(other))
 
 
 def _overlaps(copies: list[Copy], events: Sequence[Event]) -> list[Break]:
--- a/ochreflow/lab/duplicates/plan.py
+++ b/ochreflow/lab/duplicates/plan.py
@@ -19,6 +19,10 @@
 RECEIVE_BUFFERS = (0, 1024, 1024, 4096, 4096, 4096, 16_384)  # bytes; 0: the system's own
 SEGMENTS = (536, 1460, 1460, 1460)  # bytes; small ones keep the sender's buffer small
 ZONES = 2
+CLASS_WEIGHTS = (1, 6, 1, 2, 2)  # safe, unsafe, and keyed by all, zone and cell
+WINDOWS = (0.1, 0.15, 0.4, 1.0, 3.0)  # seconds; the first ones end before most repeats come
+LEAVING_SHARE = 0.1  # of the clients leave
+LEAVES_SOON = 0.05  # seconds: about as long as most requests take
 
 
 class Crossing(Enum):
@@ -65,6 +69,7 @@
     drained: bool = False  # all that the system holds for it is read right before it acts
     read_on: float = 0.0  # after which it reads on
     second: float | None = None  # after its answer a second one follows
+    joins: int | None = None  # before it works, it moves to the group of the server so many numbers further
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +85,7 @@
     deadline: float
     pieces: int  # in which its body is written
     leaves: float | None  # after so long the client goes away
-    manner: str  # close, reset or half_close
+    manner: str  # close, reset, half_close, or end_sending: it ends its sending, but waits for the answer
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +118,7 @@
     server: int
     change: ServerChange
     seconds: float
+    joins: int  # it moves to the group of the server so many numbers further
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,7 +164,7 @@
         if self.fixed:
             return self.fixed[attempt] if attempt < len(self.fixed) else Treatment(Act.SERVE)
         rng = random.Random(f"{self.seed}:{ask.id}:{attempt}")
-        return draw_treatment(rng, self.crossings, ask.size)
+        return draw_treatment(rng, self.crossings, ask, len(self.servers))
 
 
 def draw(seed: int, seconds: float, crossings: frozenset[Crossing]) -> Plan:
@@ -192,7 +198,7 @@
         return rng.choice((0.4, 0.8, 1.5, 2.5))
 
     def window() -> float:
-        return rng.choice((0.15, 0.4, 1.0, 3.0))
+        return rng.choice(WINDOWS)
 
     return (
         RequestClass("lookup", Effect.SAFE, deadline()),
@@ -214,9 +220,10 @@
     asks: list[Ask] = []
     at = 0.0
     while (at := at + rng.expovariate(REQUESTS_PER_SECOND)) < seconds:
-        cls = rng.choices(classes, (1, 6, 1, 1, 1))[0]
+        cls = rng.choices(classes, CLASS_WEIGHTS)[0]
         safe = cls.effect is Effect.SAFE
-        leaves = rng.uniform(0.0, cls.deadline) if rng.random() < 0.1 else None
+        longest = rng.choice((LEAVES_SOON, cls.deadline))
+        leaves = rng.uniform(0.0, longest) if rng.random() < LEAVING_SHARE else None
         asks.append(
             Ask(
                 at,
@@ -228,7 +235,7 @@
                 deadline=cls.deadline * rng.choice((1.0, 1.0, 0.5)),
                 pieces=rng.choice((1, 1, 1, 3)),
                 leaves=leaves if leaving else None,
-                manner=rng.choice(("close", "reset", "half_close")),
+                manner=rng.choice(("close", "reset", "half_close", "end_sending")),
             )
         )
     return tuple(asks)
@@ -241,6 +248,7 @@
             rng.randrange(servers),
             rng.choice(list(ServerChange)),
             rng.choice((0.05, 0.3, 0.8, 1.3)),
+            rng.randrange(1, servers),
         )
         for _ in range(round(seconds * 1.5))
     )
@@ -306,10 +314,33 @@
 EARLY_LEAST = 40_000  # bytes of a body, or less would stay with the sender
 FREEZE_EARLY, FREEZE_WHOLE = 0.6, 0.1  # shares of the attempts that are ended so
 SECOND_SHARE = 0.05  # of the answers are followed by a second one
+MOVED_ACTS = {  # most leave open whether the attempt ran, so that a repeat may follow
+    Act.RESET: 3,
+    Act.HALF_CLOSE: 2,
+    Act.BUSY: 2,
+    Act.GARBAGE: 1,
+    Act.CUT_HEAD: 1,
+    Act.SILENT: 1,
+    Act.SERVE: 1,
+}
+MOVED_SHARE = 0.25  # of the attempts of classes that are keyed by zone or cell
+MOVED_WORK = (0.02, 0.05, 0.1)  # seconds in which the sidecars hear of the move
+
+
+def draw_treatment(rng: random.Random, crossings: frozenset[Crossing], ask: Ask, servers: int) -> Treatment:
+    """How an attempt of a request is treated, in a fleet of so many servers."""
+    if Crossing.SERVERS in crossings and ask.cls.scope is not Scope.ALL and rng.random() < MOVED_SHARE:
+        return _draw_move(rng, servers)
+    return _draw_act(rng, crossings, ask.size)
+
+
+def _draw_move(rng: random.Random, servers: int) -> Treatment:
+    """A server that has the whole attempt moves to another group, and then ends the attempt."""
+    act = rng.choices(list(MOVED_ACTS), list(MOVED_ACTS.values()))[0]
+    return Treatment(act, work=rng.choice(MOVED_WORK), joins=rng.randrange(1, servers))
 
 
-def draw_treatment(rng: random.Random, crossings: frozenset[Crossing], size: int) -> Treatment:
-    """How an attempt is treated, by the size of its body."""
+def _draw_act(rng: random.Random, crossings: frozenset[Crossing], size: int) -> Treatment:
     early = rng.random() < EARLY_SHARE and Crossing.EARLY in crossings and size >= EARLY_LEAST
     acts = EARLY_ACTS if early else WHOLE_ACTS
     if Crossing.SPOILT not in crossings:
--- a/ochreflow/lab/duplicates/play.py
+++ b/ochreflow/lab/duplicates/play.py
@@ -78,7 +78,7 @@
         self.plan = plan
         self.record = Record()
         self.asks = {ask.id: ask for ask in plan.asks}
-        shared = Shared(plan, self.record, lambda number: self.fleet.frozen(number), self.asks)
+        shared = Shared(plan, self.record, lambda number: self.fleet.frozen(number), self._move, self.asks)
         self.servers = [Server(number, given, shared) for number, given in enumerate(plan.servers)]
         self.fleet = Fleet(plan, folder, program, self.record, self.servers, with_debug_lines)
         self.clients = Clients(self.record, lambda number: self.fleet.addresses[number], self.fleet.killed_at)
@@ -146,8 +146,7 @@
         server = self.servers[step.server]
         self.record.trouble(f"server {step.server}: {step.change.value}, {step.seconds:g} s")
         if step.change is ServerChange.MOVE:
-            server.move((server.places[-1].cell + 1) % len(self.servers))
-            self.fleet.list(server)
+            self._move(step.server, step.joins)
         elif step.change is ServerChange.DRAIN:
             self.fleet.list(server, "DRAINING")
             await asyncio.sleep(step.seconds)
@@ -162,6 +161,12 @@
             await asyncio.sleep(step.seconds)
             server.accept()
 
+    def _move(self, number: int, further: int) -> None:
+        """Move a server to the group of the one so many numbers further, and tell the directory."""
+        place = self.servers[(number + further) % len(self.servers)].places[-1]
+        self.servers[number].move(place.zone, place.cell)
+        self.fleet.list(self.servers[number])
+
     # The end
 
     def _places(self, server: int, begin: float, end: float) -> list[Place]:
--- a/ochreflow/lab/duplicates/server.py
+++ b/ochreflow/lab/duplicates/server.py
@@ -54,6 +54,8 @@
 
 Freezer = Callable[[int], AbstractAsyncContextManager[None]]
 """Freezes a sidecar, by its number, for as long as the context lasts."""
+Mover = Callable[[int, int], None]
+"""Moves a server, by its number, to the group of the server so many numbers further."""
 
 
 class Attempts:
@@ -74,6 +76,7 @@
     plan: Plan
     record: Record
     freeze: Freezer
+    move: Mover
     asks: dict[str, Ask]
     attempts: Attempts = field(default_factory=Attempts)
 
@@ -164,9 +167,9 @@
         for sock in list(self.socks):
             self._reset(sock)
 
-    def move(self, cell: int) -> None:
+    def move(self, zone: int, cell: int) -> None:
         """Belong to another group from now on."""
-        self.places.append(Place(self.record.now(), self.given.zone, cell))
+        self.places.append(Place(self.record.now(), zone, cell))
 
     def stood(self, begin: float, end: float) -> list[Place]:
         """The places it had between two times."""
@@ -240,6 +243,9 @@
         wanted = int(ask.size * treatment.read_first) if treatment.early else -1
         if not await self._read_until(wanted):
             return False
+        if treatment.joins is not None:
+            self._tell("moves to another group")
+            self.shared.move(self.server.number, treatment.joins)
         if not await self._work(treatment.work):
             return False
         if treatment.frozen is None:
--- a/tests/test_duplicate_search.py
+++ b/tests/test_duplicate_search.py
@@ -36,7 +36,9 @@
 
 def kinds(cls, *events, second_copies=True, places=None):
     def stood(server, begin, end):
-        return (places or {}).get(server, [PLACES[server]])
+        stays = (places or {}).get(server, [PLACES[server]])
+        ends = [stay.since for stay in stays[1:]] + [1e9]
+        return [stay for stay, until in zip(stays, ends, strict=True) if stay.since <= end and until >= begin]
 
     return [one.kind for one in judge(cls, events, stood, second_copies)]
 
@@ -102,6 +104,27 @@
     assert kinds(keyed(Scope.CELL), copy(1.0), copy(1.2, 1, 3), places=moved) == []
 
 
+@pytest.mark.parametrize(("scope", "joined", "kept"), [(Scope.CELL, 3, 2), (Scope.ZONE, 4, 3)])
+def test_a_later_move_of_the_first_copys_server_does_not_change_its_group(scope, joined, kept):
+    place = PLACES[joined]
+    moved = {1: [PLACES[1], Place(1.1, place.zone, place.cell)]}
+    to_new_group = kinds(keyed(scope), copy(1.0), copy(1.2, 1, joined), places=moved)
+    assert to_new_group == [Kind.OUTSIDE_GROUP]
+    assert kinds(keyed(scope), copy(1.0), copy(1.2, 1, kept), places=moved) == []
+
+
+@pytest.mark.parametrize(("at", "broken"), [(1.9, False), (2.3, True)])
+def test_a_server_belongs_to_its_old_group_until_sidecars_surely_know_of_the_move(at, broken):
+    moved = {2: [PLACES[2], Place(0.2, 0, 1)]}
+    found = kinds(keyed(Scope.CELL, 10.0), copy(0.1), copy(at, 1, 2), places=moved)
+    assert found == ([Kind.OUTSIDE_GROUP] if broken else [])
+
+
+def test_a_copy_that_waited_unread_may_have_been_sent_before_a_move():
+    moved = {2: [PLACES[2], Place(0.2, 0, 1)]}
+    assert kinds(keyed(Scope.CELL, 10.0), copy(0.1), copy(2.9, 1, 2, not_before=1.9), places=moved) == []
+
+
 @pytest.mark.parametrize(("apart", "broken"), [(0.9, False), (1.04, False), (1.06, True)])
 def test_a_keyed_request_may_be_repeated_in_its_window_and_the_slack_only(apart, broken):
     found = kinds(keyed(Scope.ALL), copy(1.0), copy(1.0 + apart, 1, 2))
@@ -206,6 +229,7 @@
     assert not plan.server_steps and not plan.sidecar_steps and not plan.bursts
     treatments = [plan.treatment(ask, 0) for ask in plan.asks]
     assert not any(one.early or one.second is not None or one.frozen is not None for one in treatments)
+    assert not any(one.joins is not None for one in treatments)
     assert not any(ask.leaves is not None for ask in plan.asks)
 
 
@@ -215,6 +239,15 @@
     assert acts == set(Act)
     assert {ask.cls.scope for plan in plans for ask in plan.asks} == set(Scope)
     assert {ask.cls.effect for plan in plans for ask in plan.asks} == set(Effect)
+    manners = {ask.manner for plan in plans for ask in plan.asks if ask.leaves is not None}
+    assert manners == {"close", "reset", "half_close", "end_sending"}
+
+
+def test_servers_move_while_they_have_attempts_of_which_the_group_matters():
+    plans = [draw(seed, 5.0, frozenset(Crossing)) for seed in range(20)]
+    moved = [(plan, ask) for plan in plans for ask in plan.asks if plan.treatment(ask, 0).joins is not None]
+    assert {ask.cls.scope for _, ask in moved} == {Scope.ZONE, Scope.CELL}
+    assert all(0 < plan.treatment(ask, 0).joins < len(plan.servers) for plan, ask in moved)
 
 
 # The command
@@ -303,15 +336,14 @@
 UNREAD = ServerPlan(zone=0, cell=0, receive_buffer=4096, segment=1460)
 
 
-def partly_written(act):
-    """Requests that a server ends while they are partly written, in a turn in which the rest could go out."""
+def fixed_plan(size, treatment, servers, leaves=None, manner=""):
+    """Eight orders, whose first attempts are treated alike."""
     plan = draw(1, 2.0, frozenset())
     order = replace(plan.classes[1], deadline=1.5)
     asks = tuple(
-        Ask(0.1 + number * 0.1, f"{number + 1:016x}", number % 2, order, PARTLY, False, 1.5, 1, None, "")
+        Ask(0.1 + number * 0.1, f"{number + 1:016x}", number % 2, order, size, False, 1.5, 1, leaves, manner)
         for number in range(8)
     )
-    treatment = Treatment(act, early=True, work=0.02, frozen=0.0, drained=True)
     classes = (plan.classes[0], order, *plan.classes[2:])
     return replace(
         plan,
@@ -320,12 +352,18 @@
         attempts_most=3,
         connect_timeout=0.25,
         classes=classes,
-        servers=(UNREAD,) * 4,
+        servers=servers,
         asks=asks,
         fixed=(treatment,),
     )
 
 
+def partly_written(act):
+    """Requests that a server ends while they are partly written, in a turn in which the rest could go out."""
+    treatment = Treatment(act, early=True, work=0.02, frozen=0.0, drained=True)
+    return fixed_plan(PARTLY, treatment, (UNREAD,) * 4)
+
+
 @pytest.mark.parametrize("act", [Act.HALF_CLOSE, Act.GARBAGE])
 def test_what_is_partly_written_when_its_server_ends_is_not_sent_again(act):
     result = play(partly_written(act), ROOT)
@@ -334,6 +372,15 @@
     assert result.copies >= len(partly_written(act).asks)  # the rest did come, or nothing was tried
 
 
+def test_clients_that_end_their_sending_are_played_and_told():
+    servers = tuple(ServerPlan(zone=0, cell=0, receive_buffer=0, segment=0) for _ in range(4))
+    plan = fixed_plan(200, Treatment(Act.SERVE, work=0.3), servers, leaves=0.1, manner="end_sending")
+    result = play(plan, ROOT)
+    assert [searching.story(failure) for failure in result.failures] == []
+    assert result.copies == len(plan.asks)
+    assert result.unrepeatable == {502: len(plan.asks)}
+
+
 @pytest.mark.parametrize("seed", [2, 10])
 def test_no_drawn_run_breaks_the_rule(seed):
     result = play(draw(seed, 2.5, frozenset(Crossing)), ROOT)
