Search for answers that a close takes away: pipelined pairs from clients that read late

Need: a close that takes away an answer which the client's machine has not got was mended, but nothing in the search could show it: clients read at once, never pipeline and send nothing behind a request.

Change: PipelinedPair: a client with a small buffer writes a lookup with a long answer and an unsafe request at once, then an empty line, and reads late. Pairs are drawn only at sidecars that never end, since at its end a process may lose what a slow client has not taken (docs/design/endings.md, left open).

--- a/ochreflow/lab/duplicates/client.py
+++ b/ochreflow/lab/duplicates/client.py
@@ -210,6 +210,8 @@
         f"X-Request-Id: {ask.id}",
         f"X-Deadline: {round(ask.deadline * 1000)}m",
     ]
+    if ask.last:
+        head.append("Connection: close")
     if ask.cls.effect is Effect.KEYED:
         head.append(f"Idempotency-Key: key-of-{ask.id}")
     body = b"x" * ask.size
--- a/ochreflow/lab/duplicates/plan.py
+++ b/ochreflow/lab/duplicates/plan.py
@@ -22,6 +22,8 @@
 CLASS_WEIGHTS = (1, 6, 1, 2, 2)  # safe, unsafe, and keyed by all, zone and cell
 WINDOWS = (0.1, 0.15, 0.4, 1.0, 3.0)  # seconds; the first ones end before most repeats come
 LEAVING_SHARE = 0.1  # of the clients leave
+PAIRS = 4.0  # pipelined pairs a second
+LONG_ANSWERS = (8_000, 20_000, 30_000)  # bytes: more than a client of a pair takes without reading
 LEAVES_SOON = 0.05  # seconds: about as long as most requests take
 
 
@@ -86,6 +88,8 @@
     pieces: int  # in which its body is written
     leaves: float | None  # after so long the client goes away
     manner: str  # close, reset, half_close, or end_sending: it ends its sending, but waits for the answer
+    answer_size: int = 0  # of a 200's body; 0: a few bytes
+    last: bool = False  # the client asks for its connection's end behind the answer
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +142,20 @@
     count: int
 
 
+@dataclass(frozen=True, slots=True)
+class PipelinedPair:
+    """Two requests that are written at once by a client with a small buffer, which reads late.
+
+    The first one's answer fills the buffer, so the second one's stays with the sidecar's machine for a while.
+    """
+
+    at: float
+    lookup: Ask
+    order: Ask
+    line_after: float  # seconds until the client writes an empty line, as some do behind a body
+    reads_after: float  # seconds until it reads
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """All of a run but the treatments of its attempts."""
@@ -155,6 +173,7 @@
     server_steps: tuple[ServerStep, ...]
     sidecar_steps: tuple[SidecarStep, ...]
     bursts: tuple[Burst, ...]
+    pairs: tuple[PipelinedPair, ...] = ()
     fixed: tuple[
         Treatment, ...
     ] = ()  # in place of drawn ones, by the attempt's number; any further is served
@@ -176,6 +195,7 @@
         ServerPlan(number % ZONES, number // 2, rng.choice(RECEIVE_BUFFERS), rng.choice(SEGMENTS))
         for number in range(rng.randint(4, 8))
     )
+    steps = _sidecar_steps(rng, seconds, sidecars, crossings)
     return Plan(
         seed,
         seconds,
@@ -188,8 +208,9 @@
         servers=servers,
         asks=_asks(rng, seed, seconds, sidecars, classes, Crossing.CLIENTS in crossings),
         server_steps=_server_steps(rng, seconds, len(servers)) if Crossing.SERVERS in crossings else (),
-        sidecar_steps=_sidecar_steps(rng, seconds, sidecars, crossings),
+        sidecar_steps=steps,
         bursts=_bursts(rng, seconds, sidecars) if Crossing.BURSTS in crossings else (),
+        pairs=_pairs(rng, seconds, sidecars, steps, classes) if Crossing.CLIENTS in crossings else (),
     )
 
 
@@ -278,6 +299,36 @@
     )
 
 
+def _pairs(
+    rng: random.Random,
+    seconds: float,
+    sidecars: int,
+    steps: tuple[SidecarStep, ...],
+    classes: tuple[RequestClass, ...],
+) -> tuple[PipelinedPair, ...]:
+    """Pairs at sidecars that never end: at its end a process may lose what a slow client has not taken."""
+    ending = {step.sidecar for step in steps if step.change in (SidecarChange.TERM, SidecarChange.KILL)}
+    staying = [sidecar for sidecar in range(sidecars) if sidecar not in ending]
+    if not staying:
+        return ()
+    return tuple(_pair(rng, seconds, rng.choice(staying), classes) for _ in range(round(seconds * PAIRS)))
+
+
+def _pair(
+    rng: random.Random, seconds: float, sidecar: int, classes: tuple[RequestClass, ...]
+) -> PipelinedPair:
+    at = rng.uniform(0.2, seconds)
+
+    def ask(cls: RequestClass, answer_size: int, last: bool) -> Ask:
+        ident = f"{rng.getrandbits(64):016x}"
+        return Ask(at, ident, sidecar, cls, 0, False, cls.deadline, 1, None, "", answer_size, last)
+
+    lookup = ask(classes[0], rng.choice(LONG_ANSWERS), last=False)
+    order = ask(classes[1], 0, last=rng.random() < 0.5)
+    line_after = rng.uniform(0.02, 0.2)
+    return PipelinedPair(at, lookup, order, line_after, line_after + rng.uniform(0.02, 0.2))
+
+
 EARLY_ACTS = {
     Act.HALF_CLOSE: 4,
     Act.RESET: 2,
--- a/ochreflow/lab/duplicates/play.py
+++ b/ochreflow/lab/duplicates/play.py
@@ -16,7 +16,8 @@
 from .events import Answered, Copy, Event, NotRun
 from .fleet import Fleet
 from .judge import Break, Place, judge
-from .plan import Ask, Burst, Plan, ServerChange, ServerStep, SidecarStep
+from .pipelining import play_pair
+from .plan import Ask, Burst, PipelinedPair, Plan, ServerChange, ServerStep, SidecarStep
 from .record import Record
 from .server import Server, Shared
 
@@ -77,7 +78,8 @@
     def __init__(self, plan: Plan, folder: Path, program: Path, with_debug_lines: bool) -> None:
         self.plan = plan
         self.record = Record()
-        self.asks = {ask.id: ask for ask in plan.asks}
+        pairs = (ask for pair in plan.pairs for ask in (pair.lookup, pair.order))
+        self.asks = {ask.id: ask for ask in (*plan.asks, *pairs)}
         shared = Shared(plan, self.record, lambda number: self.fleet.frozen(number), self._move, self.asks)
         self.servers = [Server(number, given, shared) for number, given in enumerate(plan.servers)]
         self.fleet = Fleet(plan, folder, program, self.record, self.servers, with_debug_lines)
@@ -108,6 +110,7 @@
             *(self._server_step(step) for step in plan.server_steps),
             *(self._sidecar_step(step) for step in plan.sidecar_steps),
             *(self._burst(burst) for burst in plan.bursts),
+            *(self._pair(pair) for pair in plan.pairs),
         ]
         tasks = [asyncio.ensure_future(part) for part in parts]
         done, unfinished = await asyncio.wait(tasks, timeout=plan.seconds + FINISH_WITHIN)
@@ -137,6 +140,10 @@
         ]
         await asyncio.gather(*(self.quick.ask(ask) for ask in asks))
 
+    async def _pair(self, pair: PipelinedPair) -> None:
+        await self._until(pair.at)
+        await play_pair(pair, self.fleet.addresses[pair.lookup.sidecar], self.record)
+
     async def _sidecar_step(self, step: SidecarStep) -> None:
         await self._until(step.at)
         await self.fleet.change(step.sidecar, step.change, step.seconds)
--- a/ochreflow/lab/duplicates/server.py
+++ b/ochreflow/lab/duplicates/server.py
@@ -27,9 +27,9 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with no time: a close resets
 
 
-def _answer(code: int, *lines: str) -> bytes:
-    head = [f"HTTP/1.1 {code} X", f"Content-Length: {len(ANSWER_BODY)}", *lines, "", ""]
-    return "\r\n".join(head).encode() + ANSWER_BODY
+def _answer(code: int, *lines: str, body: bytes = ANSWER_BODY) -> bytes:
+    head = [f"HTTP/1.1 {code} X", f"Content-Length: {len(body)}", *lines, "", ""]
+    return "\r\n".join(head).encode() + body
 
 
 ANSWERS = {
@@ -300,7 +300,9 @@
         if act is Act.TURN_AWAY:
             self.record.add(self.ident, NotRun(self.record.now(), self.attempt))
         self._end()
-        await asyncio.get_running_loop().sock_sendall(self.sock, ANSWERS[act])
+        long = self.shared.asks[self.ident].answer_size if act is Act.SERVE else 0
+        answer = _answer(200, body=b"x" * long) if long else ANSWERS[act]
+        await asyncio.get_running_loop().sock_sendall(self.sock, answer)
 
     async def _after(self, treatment: Treatment) -> bool:
         """Read all that still comes; True if another request may follow."""
--- a/tests/test_duplicate_search.py
+++ b/tests/test_duplicate_search.py
@@ -11,7 +11,16 @@
 from ochreflow.lab.duplicates.classes import Effect, RequestClass, Scope
 from ochreflow.lab.duplicates.events import Answered, AttemptEnded, Closed, Copy, Left, NotRun, Written
 from ochreflow.lab.duplicates.judge import Kind, Place, judge
-from ochreflow.lab.duplicates.plan import Act, Ask, Crossing, ServerPlan, Treatment, draw
+from ochreflow.lab.duplicates.plan import (
+    Act,
+    Ask,
+    Crossing,
+    PipelinedPair,
+    ServerPlan,
+    SidecarChange,
+    Treatment,
+    draw,
+)
 from ochreflow.lab.duplicates.play import play
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -226,7 +235,7 @@
 
 def test_plans_leave_out_what_they_are_told_to():
     plan = draw(7, 5.0, frozenset())
-    assert not plan.server_steps and not plan.sidecar_steps and not plan.bursts
+    assert not plan.server_steps and not plan.sidecar_steps and not plan.bursts and not plan.pairs
     treatments = [plan.treatment(ask, 0) for ask in plan.asks]
     assert not any(one.early or one.second is not None or one.frozen is not None for one in treatments)
     assert not any(one.joins is not None for one in treatments)
@@ -243,6 +252,15 @@
     assert manners == {"close", "reset", "half_close", "end_sending"}
 
 
+def test_pairs_are_drawn_at_sidecars_that_never_end_only():
+    plans = [draw(seed, 5.0, frozenset(Crossing)) for seed in range(20)]
+    ends = (SidecarChange.TERM, SidecarChange.KILL)
+    for plan in plans:
+        ending = {step.sidecar for step in plan.sidecar_steps if step.change in ends}
+        assert not ending & {pair.order.sidecar for pair in plan.pairs}
+    assert sum(bool(plan.pairs) for plan in plans) > len(plans) // 2
+
+
 def test_servers_move_while_they_have_attempts_of_which_the_group_matters():
     plans = [draw(seed, 5.0, frozenset(Crossing)) for seed in range(20)]
     moved = [(plan, ask) for plan in plans for ask in plan.asks if plan.treatment(ask, 0).joins is not None]
@@ -372,15 +390,37 @@
     assert result.copies >= len(partly_written(act).asks)  # the rest did come, or nothing was tried
 
 
+PLAIN = ServerPlan(zone=0, cell=0, receive_buffer=0, segment=0)
+
+
 def test_clients_that_end_their_sending_are_played_and_told():
-    servers = tuple(ServerPlan(zone=0, cell=0, receive_buffer=0, segment=0) for _ in range(4))
-    plan = fixed_plan(200, Treatment(Act.SERVE, work=0.3), servers, leaves=0.1, manner="end_sending")
+    treatment = Treatment(Act.SERVE, work=0.3)
+    plan = fixed_plan(200, treatment, (PLAIN,) * 4, leaves=0.1, manner="end_sending")
     result = play(plan, ROOT)
     assert [searching.story(failure) for failure in result.failures] == []
     assert result.copies == len(plan.asks)
     assert result.unrepeatable == {502: len(plan.asks)}
 
 
+def test_a_client_that_reads_late_gets_both_answers_of_a_pipelined_pair():
+    plan = fixed_plan(0, Treatment(Act.SERVE), (PLAIN,) * 4)
+    lookup = replace(plan.asks[0], cls=plan.classes[0], answer_size=30_000)
+    pairs = tuple(
+        PipelinedPair(
+            ask.at,
+            replace(lookup, id=f"{number + 100:016x}", sidecar=ask.sidecar),
+            replace(ask, last=True),
+            line_after=0.1,
+            reads_after=0.2,
+        )
+        for number, ask in enumerate(plan.asks)
+    )
+    result = play(replace(plan, asks=(), pairs=pairs), ROOT)
+    assert [searching.story(failure) for failure in result.failures] == []
+    assert result.copies == 2 * len(pairs)
+    assert result.unrepeatable == {200: len(pairs)}
+
+
 @pytest.mark.parametrize("seed", [2, 10])
 def test_no_drawn_run_breaks_the_rule(seed):
     result = play(draw(seed, 2.5, frozenset(Crossing)), ROOT)
