Search for late second answers on connections that are used again at once

A second answer that would come later than 30 ms is left out, so that a slow search breaks no rule that the program can't keep.

--- a/ochreflow/lab/duplicates/server.py
+++ b/ochreflow/lab/duplicates/server.py
@@ -24,6 +24,7 @@
 DRAIN_PAUSE = 0.002  # seconds in which the system moves on what a peer's side still holds
 DRAIN_EMPTY = 3  # looks in a row that find nothing: all has come
 GARBAGE = b"HTP/1.1 2O0 \x00K\r\n\r\n"
+SECOND_WITHIN = 0.03  # seconds after which a second answer is left out: the protocol gives sockets 50 ms
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with no time: a close resets
 
 
@@ -308,9 +309,7 @@
         """Read all that still comes; True if another request may follow."""
         act = treatment.act
         if treatment.second is not None and act in ANSWERS:
-            await asyncio.sleep(treatment.second)
-            self._tell(f"a second answer: {act.value}")
-            await asyncio.get_running_loop().sock_sendall(self.sock, ANSWERS[act])
+            await self._answer_again(treatment.second, treatment.second_act or act)
         if not self.reader.whole:
             await asyncio.sleep(treatment.read_on)
             if not await self._read_until(-1):
@@ -321,6 +320,14 @@
             pass
         return False
 
+    async def _answer_again(self, after: float, act: Act) -> None:
+        answered = self.record.now()
+        await asyncio.sleep(after)
+        if self.record.now() - answered > SECOND_WITHIN:
+            return
+        self._tell(f"a second answer: {act.value}")
+        await asyncio.get_running_loop().sock_sendall(self.sock, ANSWERS[act])
+
     # Reading
 
     async def _drain(self) -> None:
