Let the module alone say which ends prove that an attempt never ran

Cause: `UNWRITTEN` and `NEVER_RAN` in `core/engine.py` stood again in `policy/records.py` (`UNWRITTEN`, `PROVES_NOT_RUN`): one fact with two owners, and a status added to one alone would let the last guard refuse what the module holds to have run.

Change: the core takes both from the module. The same statuses, no behaviour changed.

--- a/ochreflow/core/engine.py
+++ b/ochreflow/core/engine.py
@@ -18,6 +18,7 @@
 from ..policy import interface as api
 from ..policy.interface import Settings, Status
 from ..policy.logic import Balancer
+from ..policy.records import PROVES_NOT_RUN, UNWRITTEN
 from ..policy.rules import NO_END
 from .fleet import Fleet, Names, News
 from .lifecycle import Lifecycle
@@ -33,8 +34,6 @@
 GUARD_MARGIN_NS = 8 * MS  # ... and a request that then still has no answer gets one
 PROBE_TIMEOUT = 0.4  # seconds
 SWEEP_EVERY = 0.1
-UNWRITTEN = (Status.CONNECT_FAILED, Status.MOOT)  # ends of attempts whose last byte was never written
-NEVER_RAN = (Status.FULL, *UNWRITTEN)  # ends that prove it
 
 
 class Clock:
@@ -525,7 +524,7 @@
         del self.attempts[held.id, attempt.number]
         if attempt.whole and status in UNWRITTEN:
             status = Status.RESET  # what was told before is the truth: it may have run
-        if status not in NEVER_RAN:
+        if status not in PROVES_NOT_RUN:
             held.may_have_run = True
         if log.debugging:
             self._tell_attempt(held, attempt, status)
