Review case 4: hundreds of requests at once take a sidecar over its memory

review/4 starts one sidecar with 64 MB and 512 descriptors, 20 usual requests a second, and after 4 s 60 bad clients that send 700 requests at once each, all but the first without an id. Without the bad clients the peak is 14 MB (exit 0).

--- a/review/standins.py
+++ b/review/standins.py
@@ -27,6 +27,7 @@
 READY_WITHIN_S = 30.0
 STOP_WITHIN_S = 5.0
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit codes of a case
+LIMITS: dict[str, float] = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
 OK_CODE = 200
 REFUSED_CODES = (429, 503)
 
@@ -281,6 +282,7 @@
     listen: str = field(default_factory=lambda: f"{HOST}:{free_port()}")
     management: str = field(default_factory=lambda: f"{HOST}:{free_port()}")
     inherited: socket.socket | None = None  # the clients' listening socket, if the platform holds it
+    limits: dict[str, float] = field(default_factory=lambda: dict(LIMITS))
     process: asyncio.subprocess.Process | None = None
 
     @property
@@ -300,7 +302,7 @@
                     "discovery": self.discovery.address,
                     "management": self.management,
                     "seed": f"{time_seed():016x}",
-                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                    "limits": self.limits,
                     "known": self.discovery.body(snapshot=True),
                     "settings": self.settings,
                 }
