--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,10 +16,11 @@
 import standins as kit  # noqa: E402  # the stand-ins lie beside the cases
 
 DEADLINE_MS = 6000
-WORK_S = 2.5  # within the deadline of the class
+WORK_S = 3.0  # within the deadline of the class
 REQUESTS = 12
 BAD_CLIENTS = 4
-SIGTERM_AFTER_S = 1.0  # after the new process has said yes; at most 6 s
+SIGTERM_AFTER_S = 0.5  # after the new process has said yes; at most 6 s
+BAD_CLIENTS_AFTER_S = 1.0  # after SIGTERM: the old process takes no new connection any more
 KILL_AFTER_S = 3.7  # the longest deadline, counted as 3 s, and 0.7 s
 BACKLOG = 512
 
@@ -69,25 +70,25 @@
 
 
 async def play(day: Day, old: kit.Sidecar, new: kit.Sidecar, *, trouble: bool) -> None:
-    """Send requests to the old process, hand over, and send the same ids again while they are open."""
+    """Send requests to the old process, hand over, and send some of their ids again while they are open."""
     await old.start()
     ids = [f"{number:016x}" for number in range(1, REQUESTS + 1)]
     async with asyncio.TaskGroup() as group:
+        for request_id in ids:
+            group.create_task(day.ask(old.port, request_id, bad=False))
+        await asyncio.sleep(0.1)
         if trouble:
             await new.start()
             day.record.write("new_version_ready")
-            await asyncio.sleep(SIGTERM_AFTER_S)
-        for request_id in ids:
-            group.create_task(day.ask(old.port, request_id, bad=False))
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(SIGTERM_AFTER_S)
         if trouble:
             old.signal(signal.SIGTERM)
             day.record.write("sigterm", to="old")
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(BAD_CLIENTS_AFTER_S)
         for request_id in ids[:BAD_CLIENTS]:
             group.create_task(day.ask(old.port, request_id, bad=True))
         if trouble:
-            await asyncio.sleep(KILL_AFTER_S - 1.0)
+            await asyncio.sleep(KILL_AFTER_S - BAD_CLIENTS_AFTER_S)
             old.signal(signal.SIGKILL)
 
 
