Review case 3: bad clients with bodies in small chunks keep usual clients waiting

review/3 starts one sidecar with the site's deadline of 6 s, 20 usual requests a second, and for 20 s 20 bad clients that send bodies in chunks of one byte at full speed.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,10 +1,9 @@
-"""A planned restart cuts off long answers that the servers still give."""
+"""Twenty bad clients with large bodies in small chunks keep all usual clients without an answer."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import signal
 import sys
 from pathlib import Path
 
@@ -14,95 +13,109 @@
 import standins as kit  # noqa: E402  # the stand-ins lie beside the cases
 
 DEADLINE_MS = 6000
-PIECE = b"0123456789abcdef" * 4096  # 64 KiB
-PIECES_PER_S = 20.0  # 1.3 MB a second
-PIECES = (60, 90, 120, 150)  # 4 to 10 MB, in 3 to 7.5 s
-REQUESTS = 8
-FIRST_BYTES_AFTER_S = 0.2
-SIGTERM_AFTER_S = 1.0
-SIGKILL_AFTER_S = 12.0  # no sooner than 3.7 s after SIGTERM
+LATE_S = 0.5  # later than this after its time, a request is lost
+WAIT_S = 30.0  # so long the test waits for late answers
+WORK_S = 0.1
+RATE = 20.0  # requests a second of the usual clients
+SECONDS = 25.0
+BAD_CLIENTS = 20
+BAD_CLIENTS_AFTER_S = 4.0
+BAD_CLIENTS_FOR_S = 20.0
+Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
 class Day:
-    """What clients got, and what servers gave."""
+    """What the usual clients got, and when."""
 
     def __init__(self, record: kit.Record) -> None:
         """Begin with nothing."""
         self.record = record
-        self.cut_by_sidecar: set[str] = set()
-        self.whole = self.not_whole = 0
-
-    async def serve(self, server: str, message: kit.Message, connection: kit.ServerConnection) -> None:
-        """Give a long answer piece by piece, at an even pace."""
-        request_id = message.headers["x-request-id"]
-        pieces = PIECES[int(request_id, 16) % len(PIECES)]
-        await asyncio.sleep(FIRST_BYTES_AFTER_S)
-        head = f"HTTP/1.1 200 OK\r\nContent-Length: {pieces * len(PIECE)}\r\n\r\n"
-        connection.write(head.encode())
-        for given in range(pieces):
-            if connection.writer.is_closing():
-                self.cut_by_sidecar.add(request_id)
-                self.record.write("server_lost_its_peer", id=request_id, server=server, pieces=given)
-                return
-            connection.write(PIECE)
-            await asyncio.sleep(1 / PIECES_PER_S)
+        self.sent = self.lost = 0
+        self.longest_s = 0.0
+        self.idle: list[Connection] = []
+
+    async def serve(self, message: kit.Message, connection: kit.ServerConnection) -> None:
+        """Run a request."""
+        self.record.write("run", id=message.headers["x-request-id"])
+        await asyncio.sleep(WORK_S)
         connection.waiting -= 1
-        self.record.write("run", id=request_id, server=server, pieces=pieces)
+        connection.write(kit.response(kit.OK_CODE, b"assigned"))
+
+    async def connect(self, port: int, *, new: bool) -> Connection:
+        """Return a connection that is free, or a new one."""
+        while self.idle and not new:
+            reader, writer = self.idle.pop()
+            if not reader.at_eof():
+                return reader, writer
+            writer.close()
+        return await asyncio.open_connection(kit.HOST, port)
 
     async def ask(self, port: int, request_id: str) -> None:
-        """Send one request and read its answer as fast as it comes."""
-        reader, writer = await asyncio.open_connection(kit.HOST, port)
+        """Send one request of a usual client, and note when its answer has come."""
+        self.sent += 1
+        loop = asyncio.get_running_loop()
+        began = loop.time()
         self.record.write("sent", id=request_id)
-        writer.write(kit.request("/assign/seat", request_id, DEADLINE_MS, body=b"user=7"))
-        received = length = 0
-        try:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
-            length = int(head.partition("content-length:")[2].split("\r\n")[0])
-            self.record.write("first_bytes", id=request_id, status=head.split("\r\n")[0], length=length)
-            while received < length and (data := await reader.read(len(PIECE))):
-                received += len(data)
-        except (OSError, ValueError, asyncio.IncompleteReadError) as error:
-            self.record.write("connection_ended", id=request_id, error=type(error).__name__)
-        writer.close()
-        whole = 0 < length == received
-        self.whole += whole
-        self.not_whole += not whole
-        self.record.write("answered" if whole else "CUT_OFF", id=request_id, received=received, of=length)
-
-
-async def play(day: Day, sidecar: kit.Sidecar, *, trouble: bool) -> float:
-    """Send the requests and end the sidecar as at a planned restart; return when it ended after SIGTERM."""
-    await sidecar.start()
-    assert sidecar.process is not None
+        answer: kit.Message | None = None
+        for new in (False, True):  # once more on a new connection, if a close has crossed the request
+            connection = await self.connect(port, new=new)
+            began = loop.time()
+            answer = await exchange(
+                connection, kit.request("/assign/seat", request_id, DEADLINE_MS, body=b"u=7")
+            )
+            if answer is not None:
+                self.idle.append(connection)
+                break
+            connection[1].close()
+        took_s = loop.time() - began
+        self.longest_s = max(self.longest_s, took_s)
+        lost = answer is None or took_s > DEADLINE_MS / 1000 + LATE_S
+        self.lost += lost
+        code = answer.code if answer is not None else None
+        self.record.write("LOST" if lost else "answered", id=request_id, code=code, after_s=round(took_s, 3))
+
+
+async def exchange(connection: Connection, data: bytes) -> kit.Message | None:
+    """Send a request and return its answer; None if there is none."""
+    reader, writer = connection
+    try:
+        writer.write(data)
+        async with asyncio.timeout(WAIT_S):
+            return await kit.read_message(reader)
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return None
+
+
+async def play(day: Day, sidecar: kit.Sidecar, *, trouble: bool) -> None:
+    """Let the usual clients ask at an even pace; the bad ones come in between."""
     loop = asyncio.get_running_loop()
-    asked = [asyncio.create_task(day.ask(sidecar.port, f"{n:016x}")) for n in range(REQUESTS)]
-    await asyncio.sleep(SIGTERM_AFTER_S)
-    ended_after_s = 0.0
-    if trouble:
-        terminated_at = loop.time()
-        day.record.write("sigterm")
-        sidecar.signal(signal.SIGTERM)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(SIGKILL_AFTER_S):
-                await sidecar.process.wait()
-        ended_after_s = loop.time() - terminated_at
-        day.record.write("sidecar_ended", seconds_after_sigterm=round(ended_after_s, 3))
-        sidecar.signal(signal.SIGKILL)
-    await asyncio.gather(*asked)
-    await asyncio.sleep(2 / PIECES_PER_S)  # servers notice the end with their next piece
-    return ended_after_s
+    asked: list[asyncio.Task[None]] = []
+    began = loop.time()
+    bad: asyncio.subprocess.Process | None = None
+    while loop.time() < began + SECONDS:
+        asked.append(asyncio.create_task(day.ask(sidecar.port, f"{len(asked) + 1:016x}")))
+        if trouble and bad is None and loop.time() > began + BAD_CLIENTS_AFTER_S:
+            arguments = [kit.HOST, str(sidecar.port), str(BAD_CLIENTS), str(BAD_CLIENTS_FOR_S)]
+            bad = await asyncio.create_subprocess_exec(
+                sys.executable, str(FOLDER / "bad_clients.py"), *arguments, stdout=asyncio.subprocess.PIPE
+            )
+            day.record.write("bad_clients_start", count=BAD_CLIENTS)
+        await asyncio.sleep(1 / RATE)
+    try:
+        await asyncio.gather(*asked)
+        if bad is not None:
+            output, _ = await bad.communicate()
+            day.record.write("bad_clients_end", text=output.decode().strip())
+    finally:
+        if bad is not None and bad.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                bad.kill()
 
 
 async def case(record: kit.Record, folder: Path, trouble: bool) -> int:  # noqa: FBT001  # called by position
     """Play the day; return the exit code."""
     day = Day(record)
-    servers = []
-    for number in range(4):
-
-        async def handle(message: kit.Message, connection: kit.ServerConnection, name: int = number) -> None:
-            await day.serve(f"s-{name}", message, connection)
-
-        servers.append(kit.Server(f"s-{number}", handle))
+    servers = [kit.Server(f"s-{number}", day.serve) for number in range(8)]
     for server in servers:
         await server.start()
     discovery = kit.Discovery([server.entry() for server in servers])
@@ -113,18 +126,15 @@
     ]
     sidecar = kit.Sidecar(folder, discovery, kit.settings(classes))
     try:
-        ended_after_s = await play(day, sidecar, trouble=trouble)
+        await sidecar.start()
+        await play(day, sidecar, trouble=trouble)
     finally:
         await sidecar.stop()
-    text = (
-        f"requests {REQUESTS} answered whole {day.whole} not whole {day.not_whole}"
-        f" cut off while their server gave {len(day.cut_by_sidecar)}"
-        f" sidecar ended {ended_after_s:.2f} s after SIGTERM"
-    )
+    text = f"usual requests {day.sent} lost {day.lost} longest wait for an answer {day.longest_s:.2f} s"
     record.write("result", text=text)
     print(text)
-    return kit.BROKEN if day.not_whole else kit.HELD
+    return kit.BROKEN if day.lost else kit.HELD
 
 
 if __name__ == "__main__":
-    sys.exit(kit.main(case, FOLDER, 60.0))
+    sys.exit(kit.main(case, FOLDER, 110.0))
