Review: a script that is ended early leaves no process behind

SIGTERM, SIGHUP and SIGKILL to cases 1 and 3 left the sidecar running, and the bad clients too. A case now ends what it started on SIGTERM, SIGINT and SIGHUP, and each child is killed when its parent ends. Seen for each of the four signals and each case: no process left; a killed case leaves its temporary folder. An unexpected error of a stand-in and a missing build exit with 2, no longer with 1 or 127; so do cases whose disruption did not come about.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -97,7 +97,11 @@
         if trouble and bad is None and loop.time() > began + BAD_CLIENTS_AFTER_S:
             arguments = [kit.HOST, str(sidecar.port), str(BAD_CLIENTS), str(BAD_CLIENTS_FOR_S)]
             bad = await asyncio.create_subprocess_exec(
-                sys.executable, str(FOLDER / "bad_clients.py"), *arguments, stdout=asyncio.subprocess.PIPE
+                sys.executable,
+                str(FOLDER / "bad_clients.py"),
+                *arguments,
+                stdout=asyncio.subprocess.PIPE,
+                preexec_fn=kit.end_with_parent,
             )
             day.record.write("bad_clients_start", count=BAD_CLIENTS)
         await asyncio.sleep(1 / RATE)
@@ -105,11 +109,15 @@
         await asyncio.gather(*asked)
         if bad is not None:
             output, _ = await bad.communicate()
+            if bad.returncode or not output:
+                message = "the bad clients did not run"
+                raise kit.CaseError(message)
             day.record.write("bad_clients_end", text=output.decode().strip())
     finally:
         if bad is not None and bad.returncode is None:
             with contextlib.suppress(ProcessLookupError):
                 bad.kill()
+            await bad.wait()
 
 
 async def case(record: kit.Record, folder: Path, trouble: bool) -> int:  # noqa: FBT001  # called by position
--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import shutil
@@ -24,6 +25,9 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 MS = 1_000_000  # nanoseconds
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+END_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 READY_WITHIN_S = 30.0
 STOP_WITHIN_S = 5.0
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit codes of a case
@@ -333,6 +337,7 @@
                 stdout=output,
                 stderr=output,
                 pass_fds=[self.inherited.fileno()] if self.inherited is not None else [],
+                preexec_fn=end_with_parent,
             )
         address = self.management if self.inherited is not None else self.listen
         await self._wait_until_ready(address, "/healthcheck" if self.inherited is not None else "/-/ready")
@@ -363,6 +368,11 @@
             await self.process.wait()
 
 
+def end_with_parent() -> None:
+    """Let this process be killed when its parent ends, however that ends; called in a new process."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def time_seed() -> int:
     """Return a seed for the sidecar, which is new with each start."""
     return int(time() * 1e6) & 0xFFFFFFFFFFFF
@@ -392,12 +402,16 @@
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
 
     async def bounded() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in END_SIGNALS:  # ended early: the case ends its processes first
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(limit_s):
             return await case(record, temporary, trouble)
 
     try:
         code = asyncio.run(bounded())
-    except (CaseError, OSError, TimeoutError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # a fault of a stand-in says nothing of the rule
         print(f"the case could not run: {type(error).__name__} {error}", file=sys.stderr)
         code = NOT_RUN
     finally:
