--- a/review/2/case.py
+++ b/review/2/case.py
@@ -96,7 +96,7 @@
     """Play the day; return the exit code. The platform holds `listener`, the clients' listening socket."""
     day = Day(record)
     servers = []
-    for number in range(4):
+    for number in range(8):
 
         async def handle(message: kit.Message, connection: kit.ServerConnection, name: int = number) -> None:
             await day.serve(f"s-{name}", message, connection)
