Share the ids of open and just ended requests between the processes of a sidecar

Cause: the registry of ids in use belonged to one process; a trace of each claim shows the same id claimed with success by both. The link of a hot restart handed over lists, known clients and usage, but no ids.

Change: processes are ordered by their start. A process asks each older one for an id before it forwards a request, and notifies the newer ones as it begins one; so one process decides between two that get an id at one moment, and the ids of a process stay in use after it has been killed. Greetings carry the ids in use. A link that breaks is opened again, and requests wait meanwhile. Why it works: an id begins only where every older process has recorded it first. Earlier versions ignore the new key of the lines; a greeting without ids is unchanged byte for byte.

--- a/ochreflow/app/hot_restart.py
+++ b/ochreflow/app/hot_restart.py
@@ -3,7 +3,8 @@
 Each process listens on a Unix socket of its own in $TMPDIR and connects to the sockets of the others. A link
 stays open while both processes run, so its end shows that the other process has ended. Over the links a new
 process receives the endpoint list and the known clients to start with, and all processes report their
-resource usage to each other, so that together they stay within the limits of one sidecar.
+resource usage to each other, so that together they stay within the limits of one sidecar. They also tell each
+other which request ids are in use, see `request_id_sharing`.
 """
 
 from __future__ import annotations
@@ -16,34 +17,47 @@
 
 from ..core.limits import Usage
 from ..core.log import log
+from ..core.request_ids import RequestIdRegistries
 from .hot_restart_form import NO_USAGE, Inheritance, format_usage
 from .hot_restart_link import Link
+from .request_id_sharing import RequestIdSharing
 
 SOCKET_PREFIX = "sidecar-"
 SOCKET_SUFFIX = ".sock"
 MAX_PATH_BYTES = 100  # a longer path might not fit into the address of a Unix socket
-GREETING_TIMEOUT_S = 0.25  # a process starts without the greetings that arrive later
+CONNECT_TIMEOUT_S = 0.25
+# A process starts without the greetings that arrive later. Until one arrives, the request ids of its sender
+# are unknown.
+GREETING_TIMEOUT_S = 1.0
 SHARE_INTERVAL_S = 0.1  # time between checks whether the usage of this process has changed
+RECONNECT_INTERVAL_S = 0.05
 
 
 class HotRestart:
     """Owns the links to the other processes of this sidecar, the socket for new ones and the timer."""
 
-    def __init__(
+    def __init__(  # noqa: PLR0913  # it is given each of its parts
         self,
         loop: asyncio.AbstractEventLoop,
         directory: str,
         usage: Usage,
         own_inheritance: Callable[[], Inheritance],
         pid: int | None = None,
+        request_ids: RequestIdRegistries | None = None,
     ) -> None:
-        """`own_inheritance` returns the state to hand over to a new process; `pid` is that of this one."""
+        """`own_inheritance` returns the state to hand over to a new process; `pid` is that of this one.
+
+        `request_ids` are those of this process, by default none.
+        """
         self.loop = loop
         self.directory = Path(directory)
         self.usage = usage
         self.own_inheritance = own_inheritance
         self.known_clients: list[object] = []  # snapshots received from the other processes at the start
         self.pid = pid or os.getpid()
+        self.sharing = RequestIdSharing(self.pid, request_ids or RequestIdRegistries())
+        self.reconnecting: set[asyncio.Task[None]] = set()
+        self.closed = False
         self.path = self.directory / f"{SOCKET_PREFIX}{self.pid}{SOCKET_SUFFIX}"
         self.server: asyncio.Server | None = None
         self.links: dict[Link, None] = {}
@@ -86,8 +100,35 @@
         descriptors, clients, memory_bytes = totals
         self.usage.set_others(len(usages), descriptors, clients, memory_bytes)
 
+    def link_ended(self, link: Link) -> None:
+        """Connect again if the other process may still run."""
+        if self.sharing.closed(link) and link.pid is not None and not self.closed:
+            task = self.loop.create_task(self._reconnect(link.pid))
+            self.reconnecting.add(task)
+            task.add_done_callback(self.reconnecting.discard)
+
+    async def _reconnect(self, pid: int) -> None:
+        """Link to a process again, or record that it has ended."""
+        path = self.directory / f"{SOCKET_PREFIX}{pid}{SOCKET_SUFFIX}"
+        while self.sharing.is_unlinked(pid):
+            try:
+                link = await self._open_link(path)
+            except (ConnectionRefusedError, FileNotFoundError):
+                _remove_file(path)
+                self.sharing.gone(pid)
+                return
+            except (OSError, TimeoutError):
+                await asyncio.sleep(RECONNECT_INTERVAL_S)
+                continue
+            await link.greeted  # also if the link has ended
+            if link.pid is None:
+                await asyncio.sleep(RECONNECT_INTERVAL_S)
+
     def close(self) -> None:
         """Close the links and the socket, and remove the socket's file."""
+        self.closed = True
+        for task in self.reconnecting:
+            task.cancel()
         if self.timer is not None:
             self.timer.cancel()
         if self.server is not None:
@@ -102,17 +143,21 @@
     async def _connect(self, path: Path) -> Link | None:
         """Link to the process that listens at `path`; remove the file if its process has ended."""
         try:
-            async with asyncio.timeout(GREETING_TIMEOUT_S):
-                _, link = await self.loop.create_unix_connection(lambda: Link(self), str(path))
+            return await self._open_link(path)
         except (ConnectionRefusedError, FileNotFoundError):
             _remove_file(path)
             return None
         except (OSError, TimeoutError):
             return None
+
+    async def _open_link(self, path: Path) -> Link:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, link = await self.loop.create_unix_connection(lambda: Link(self), str(path))
         return link
 
     def _share_usage(self) -> None:
         """Notify the others of the own usage if it has changed, and schedule the next check."""
+        self.sharing.tick()
         usage = self.own_usage()
         if usage != self.last_shared_usage and self.links:
             self.last_shared_usage = usage
--- a/ochreflow/app/hot_restart_form.py
+++ b/ochreflow/app/hot_restart_form.py
@@ -6,7 +6,8 @@
     {"pid": PROCESS, "list": ENDPOINT_LIST, "known": KNOWN_CLIENTS, "holds": [DESCRIPTORS, CLIENTS, BYTES]}
     {"holds": [DESCRIPTORS, CLIENTS, BYTES]}
 
-ENDPOINT_LIST and KNOWN_CLIENTS may be null.
+ENDPOINT_LIST and KNOWN_CLIENTS may be null. Both forms may have the key "ids" at the end, see
+`request_id_messages`.
 """
 
 from __future__ import annotations
@@ -15,6 +16,16 @@
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
+from .request_id_messages import (
+    IDS_KEY,
+    IdGreeting,
+    IdMessage,
+    format_id_greeting,
+    format_id_message,
+    parse_id_greeting,
+    parse_id_message,
+)
+
 MAX_LINE_BYTES = 4 * 1024 * 1024
 INVALID_MESSAGE_ERRORS = (ValueError, TypeError, KeyError, AttributeError, RecursionError)
 """The exceptions that the functions below raise for a malformed message."""
@@ -39,21 +50,27 @@
     known_clients: object  # snapshot of admission; None if that is off or the sender is an old version
 
 
-def format_greeting(pid: int, inheritance: Inheritance, usage: tuple[int, ...]) -> bytes:
+def format_greeting(
+    pid: int, inheritance: Inheritance, usage: tuple[int, ...], ids: IdGreeting | None = None
+) -> bytes:
     """Return the first line that a process sends."""
-    return _format_line(
-        {
-            "pid": pid,
-            "list": inheritance.endpoint_list,
-            "known": inheritance.known_clients,
-            "holds": usage,
-        }
-    )
+    message: dict[str, object] = {
+        "pid": pid,
+        "list": inheritance.endpoint_list,
+        "known": inheritance.known_clients,
+        "holds": usage,
+    }
+    if ids is not None:
+        message[IDS_KEY] = format_id_greeting(ids)
+    return _format_line(message)
 
 
-def format_usage(usage: tuple[int, ...]) -> bytes:
-    """Return a line that reports a change of usage."""
-    return _format_line({"holds": usage})
+def format_usage(usage: tuple[int, ...], ids: IdMessage | None = None) -> bytes:
+    """Return a later line: earlier versions expect the usage in each, and ignore the request ids."""
+    message: dict[str, object] = {"holds": usage}
+    if ids is not None:
+        message[IDS_KEY] = format_id_message(ids)
+    return _format_line(message)
 
 
 def is_greeting(message: dict[str, Any]) -> bool:
@@ -71,6 +88,16 @@
     return Inheritance(greeting["list"], greeting.get("known"))
 
 
+def parse_greeting_ids(greeting: dict[str, Any]) -> IdGreeting | None:
+    """Return the request ids in a greeting; None if the sender is of an earlier version."""
+    return parse_id_greeting(greeting[IDS_KEY]) if IDS_KEY in greeting else None
+
+
+def parse_message_ids(message: dict[str, Any]) -> IdMessage | None:
+    """Return what a later message says of request ids, if anything."""
+    return parse_id_message(message[IDS_KEY]) if IDS_KEY in message else None
+
+
 def parse_usage(message: dict[str, Any]) -> ResourceUsage:
     """Return the resource usage in a message; negative numbers count as 0."""
     descriptors, clients, memory_bytes = (max(int(amount), 0) for amount in message["holds"])
--- a/ochreflow/app/hot_restart_link.py
+++ b/ochreflow/app/hot_restart_link.py
@@ -13,11 +13,16 @@
     NO_USAGE,
     Inheritance,
     format_greeting,
+    format_usage,
     is_greeting,
+    parse_greeting_ids,
     parse_inheritance,
+    parse_message_ids,
     parse_pid,
     parse_usage,
 )
+from .request_id_messages import IdMessage
+from .request_id_sharing import RequestIdSharing
 
 
 class LinkOwner(Protocol):
@@ -26,6 +31,7 @@
     loop: asyncio.AbstractEventLoop
     pid: int
     links: dict[Link, None]
+    sharing: RequestIdSharing
 
     def own_inheritance(self) -> Inheritance:
         """Return the state that this process hands over to a new one."""
@@ -39,6 +45,10 @@
         """Handle a change in the usage of another process."""
         ...
 
+    def link_ended(self, link: Link) -> None:
+        """Handle the end of a link, after which the other process may still run."""
+        ...
+
 
 class Link(asyncio.Protocol):
     """Exchanges lines of JSON with another process, see `hot_restart_form`, while both processes run."""
@@ -56,9 +66,13 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Greet the other process."""
         self.transport = cast("asyncio.Transport", transport)
+        # Without a buffer, what is written has reached the kernel even if this process is killed next.
+        self.transport.set_write_buffer_limits(high=0)
         owner = self.owner
         owner.links[self] = None
-        self.write(format_greeting(owner.pid, owner.own_inheritance(), owner.own_usage()))
+        ids = owner.sharing.greeting()
+        self.write(format_greeting(owner.pid, owner.own_inheritance(), owner.own_usage(), ids))
+        owner.sharing.opened(self)
 
     def data_received(self, data: bytes) -> None:
         """Apply all complete lines; close the link at the first invalid one."""
@@ -82,12 +96,17 @@
         if self.pid is not None:
             log.info("hot_restart_peer_disconnected", process=self.pid)
         self.owner.update_others()
+        self.owner.link_ended(self)
 
     def write(self, line: bytes) -> None:
         """Send one line, unless the link is closing."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(line)
 
+    def send_ids(self, message: IdMessage) -> None:
+        """Send a message on request ids."""
+        self.write(format_usage(self.owner.own_usage(), message))
+
     def close(self) -> None:
         """Close the connection at once."""
         if self.transport is not None:
@@ -97,8 +116,13 @@
         if is_greeting(message):
             self.pid = parse_pid(message)
             self.inheritance = parse_inheritance(message)
+            greeting_ids = parse_greeting_ids(message)
+            if greeting_ids is not None:
+                self.owner.sharing.linked(self.pid, greeting_ids, self)
             log.info("hot_restart_peer_connected", process=self.pid)
             self._resolve_greeted()
+        elif self.pid is not None and (ids := parse_message_ids(message)) is not None:
+            self.owner.sharing.received(self.pid, ids)
         self.usage = parse_usage(message)
         self.owner.update_others()
 
--- a/ochreflow/app/process.py
+++ b/ochreflow/app/process.py
@@ -18,6 +18,7 @@
 from ..core.limits import Descriptors, Memory, Usage
 from ..core.log import log
 from ..core.ports import Address
+from ..core.request_ids import RequestIdRegistries
 from ..http.management import Management
 from .config import Config, ConfigError, read_config
 from .inherited import inherited_endpoint_list, inherited_socket
@@ -46,6 +47,7 @@
             Descriptors(min(config.sockets, options.descriptors or config.sockets)),
             Memory(min(config.memory, options.memory or config.memory)),
         )
+        self.request_ids = RequestIdRegistries()
         self.hot_restart: HotRestart | None = None
         self.sidecar: Sidecar | None = None
         self.management: Management | None = None
@@ -56,7 +58,9 @@
         `path` names the platform's configuration.
         """
         endpoint_list = await self._start_hot_restart()
-        sidecar = self.sidecar = Sidecar(self.loop, self.config, self.usage, endpoint_list)
+        sidecar = self.sidecar = Sidecar(self.loop, self.config, self.usage, endpoint_list, self.request_ids)
+        if self.hot_restart is not None:
+            sidecar.engine.requests.arbiter = self.hot_restart.sharing
         management = self.management = Management(self.loop, sidecar.engine)
         reloader = Reloader(self.loop, sidecar, management, self.options, path)
         reloader.apply_options(self.options, self.options.sink())
@@ -90,7 +94,9 @@
             return None  # only a socket that the platform passes on can be shared with another process
         from .hot_restart import HotRestart
 
-        self.hot_restart = HotRestart(self.loop, directory, self.usage, self._own_inheritance)
+        self.hot_restart = HotRestart(
+            self.loop, directory, self.usage, self._own_inheritance, request_ids=self.request_ids
+        )
         return inherited_endpoint_list(await self.hot_restart.start(), self.config.endpoint_ids)
 
     def _own_inheritance(self) -> Inheritance:
--- /dev/null
+++ b/ochreflow/app/request_id_sharing.py
@@ -0,0 +1,240 @@
+"""Request ids during a hot restart: an id that one process of the sidecar holds is not used by another.
+
+Processes are ordered by the time of their start. Before a process forwards a request, each older process has
+to approve its id, the oldest first; an id that is in use there is denied. So of two processes that get the
+same id at the same moment, one always decides for both. An older process asks nobody that is newer, and only
+notifies the newer ones: what it holds must stay known when it ends, in whatever way.
+
+A link may break while both processes run. Requests of both wait until it is restored, or until it is certain
+that the other process has ended; at their deadlines they are refused.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from time import monotonic_ns
+from typing import Protocol
+
+from ..core.log import log
+from ..core.request_ids import IdKey, RequestIdRegistries
+from .request_id_messages import FrontendId, IdGreeting, IdMessage, IdMessageKind, SharedId
+
+UNRESPONSIVE_TICKS = 20  # ticks without an answer after which that is logged
+Decided = Callable[[bool], None]
+
+
+class IdChannel(Protocol):
+    """A link to another process."""
+
+    def send_ids(self, message: IdMessage) -> None:
+        """Send a message, in this call if the kernel accepts it."""
+        ...
+
+
+@dataclass(slots=True)
+class Peer:
+    """Another process that takes part."""
+
+    started_ns: int  # on the system's monotonic clock
+    channel: IdChannel | None  # None while the link is broken
+
+
+@dataclass(slots=True)
+class Approval:
+    """An id that older processes are being asked for."""
+
+    remaining: list[int]  # pids of the processes that are awaited, the oldest first
+    decided: Decided
+    ticks: int = 0  # since the first of them was asked
+    askers: list[int] = field(default_factory=list)  # newer processes that ask for the same id
+
+
+class RequestIdSharing:
+    """Owns what this process knows of the others' request ids, and the ids that wait for an approval."""
+
+    def __init__(self, pid: int, registries: RequestIdRegistries) -> None:
+        """Begin without other processes."""
+        self.pid = pid
+        self.registries = registries
+        self.started_ns = monotonic_ns()
+        self.peers: dict[int, Peer] = {}
+        self.channels: dict[IdChannel, int | None] = {}  # all open links; None: the process is not known yet
+        self.approvals: dict[FrontendId, Approval] = {}
+        self.ended: list[FrontendId] = []  # ids of ended requests that the others are yet to be told of
+
+    # Called by the core, see `RequestIdArbiter`
+
+    def claim(self, frontend: str, key: IdKey, decided: Decided) -> None:
+        """Ask the older processes for an id; `decided` may be called within this call."""
+        frontend_id = FrontendId(frontend, key)
+        if not self.peers:
+            self._notify(IdMessageKind.TAKEN, frontend_id)  # a process may have linked and not greeted yet
+            decided(True)  # noqa: FBT003  # the only argument
+            return
+        awaited = [(peer.started_ns, pid) for pid, peer in self.peers.items() if self._is_awaited(pid)]
+        self.approvals[frontend_id] = Approval([pid for _, pid in sorted(awaited)], decided)
+        self._ask_next(frontend_id)
+
+    def release(self, frontend: str, key: IdKey) -> None:
+        """Tell the other processes that a request has ended."""
+        frontend_id = FrontendId(frontend, key)
+        approval = self.approvals.pop(frontend_id, None)
+        if approval is not None:
+            self._answer_askers(approval, frontend_id)
+        if self.channels:
+            self.ended.append(frontend_id)
+
+    def _is_older(self, pid: int) -> bool:
+        return (self.peers[pid].started_ns, pid) < (self.started_ns, self.pid)
+
+    def _is_awaited(self, pid: int) -> bool:
+        """Return whether requests wait for a process: for its approval, or until it can be notified again."""
+        return pid in self.peers and (self._is_older(pid) or self.peers[pid].channel is None)
+
+    # Approvals
+
+    def _ask_next(self, frontend_id: FrontendId) -> None:
+        approval = self.approvals[frontend_id]
+        while approval.remaining and not self._is_awaited(approval.remaining[0]):
+            del approval.remaining[0]
+        if not approval.remaining:
+            self._decide(frontend_id, approved=True)
+            return
+        approval.ticks = 0
+        channel = self.peers[approval.remaining[0]].channel
+        if channel is not None:  # otherwise it is asked once it is linked again
+            channel.send_ids(IdMessage(IdMessageKind.ASK, (frontend_id,)))
+
+    def _decide(self, frontend_id: FrontendId, *, approved: bool) -> None:
+        approval = self.approvals.pop(frontend_id)
+        if approved:
+            self._notify(IdMessageKind.TAKEN, frontend_id)
+        approval.decided(approved)
+        self._answer_askers(approval, frontend_id)
+
+    def _answer_askers(self, approval: Approval, frontend_id: FrontendId) -> None:
+        for pid in approval.askers:
+            self._on_ask(pid, frontend_id)
+
+    def _notify(self, kind: IdMessageKind, *ids: FrontendId) -> None:
+        """Send to all linked processes, also to those that have not greeted yet."""
+        for channel in self.channels:
+            channel.send_ids(IdMessage(kind, ids))
+
+    # Called by the links
+
+    def greeting(self) -> IdGreeting:
+        """Return what another process is told first: all ids that may not be reused."""
+        held = [
+            SharedId(frontend, item)
+            for frontend, registry in self.registries.by_frontend.items()
+            for item in registry.snapshot()
+        ]
+        return IdGreeting(self.started_ns, tuple(held))
+
+    def opened(self, channel: IdChannel) -> None:
+        """Record a new link, on which the greeting has just been sent."""
+        self.channels[channel] = None
+
+    def linked(self, pid: int, greeting: IdGreeting, channel: IdChannel) -> None:
+        """Record the greeting of another process, on its first link or on a further one."""
+        self.channels[channel] = pid
+        self.peers[pid] = Peer(greeting.started_ns, channel)
+        for shared in greeting.held:
+            owner = pid if shared.held.owner is None else shared.held.owner
+            if owner != self.pid:
+                self.registries.of(shared.frontend).merge(shared.held, owner)
+        self._ask_again(pid)
+
+    def closed(self, channel: IdChannel) -> bool:
+        """Record that a link has ended; return whether its process has no other one, and may still run."""
+        pid = self.channels.pop(channel, None)
+        peer = self.peers.get(pid) if pid is not None else None
+        if pid is None or peer is None or peer.channel is not channel:
+            return False
+        peer.channel = next((other for other, owner in self.channels.items() if owner == pid), None)
+        if peer.channel is not None:
+            self._ask_again(pid)
+        return peer.channel is None
+
+    def is_unlinked(self, pid: int) -> bool:
+        """Return whether a process takes part that has no link at present."""
+        peer = self.peers.get(pid)
+        return peer is not None and peer.channel is None
+
+    def _ask_again(self, pid: int) -> None:
+        """Go on with the approvals that wait for a process."""
+        for frontend_id, approval in list(self.approvals.items()):
+            if self.approvals.get(frontend_id) is approval and approval.remaining[0] == pid:
+                self._ask_next(frontend_id)
+
+    def gone(self, pid: int) -> None:
+        """Record that a process has ended."""
+        if self.peers.pop(pid, None) is None:
+            return
+        for registry in self.registries.by_frontend.values():
+            registry.end_all_of(pid)
+        self._ask_again(pid)
+
+    def received(self, pid: int, message: IdMessage) -> None:
+        """Handle a message of another process."""
+        for frontend_id in message.ids:
+            match message.kind:
+                case IdMessageKind.ASK:
+                    self._on_ask(pid, frontend_id)
+                case IdMessageKind.APPROVED:
+                    self._on_approved(pid, frontend_id)
+                case IdMessageKind.DENIED:
+                    self._on_denied(pid, frontend_id)
+                case IdMessageKind.TAKEN:
+                    self._on_taken(pid, frontend_id)
+                case IdMessageKind.ENDED:
+                    self.registries.of(frontend_id.frontend).end_remote(frontend_id.key)
+
+    def _on_ask(self, pid: int, frontend_id: FrontendId) -> None:
+        approval = self.approvals.get(frontend_id)
+        if approval is not None:  # answered when the older processes have decided
+            approval.askers.append(pid)
+            return
+        peer = self.peers.get(pid)
+        if peer is None or peer.channel is None:
+            return  # it asks again when it is linked again
+        registry = self.registries.of(frontend_id.frontend)
+        # A process asks again if its link broke before the answer.
+        approved = registry.owners.get(frontend_id.key) == pid or registry.grant(frontend_id.key, pid)
+        kind = IdMessageKind.APPROVED if approved else IdMessageKind.DENIED
+        peer.channel.send_ids(IdMessage(kind, (frontend_id,)))
+
+    def _on_approved(self, pid: int, frontend_id: FrontendId) -> None:
+        approval = self.approvals.get(frontend_id)
+        if approval is not None and approval.remaining[0] == pid:
+            del approval.remaining[0]
+            self._ask_next(frontend_id)
+
+    def _on_denied(self, pid: int, frontend_id: FrontendId) -> None:
+        approval = self.approvals.get(frontend_id)
+        if approval is not None and approval.remaining[0] == pid:
+            self._decide(frontend_id, approved=False)
+
+    def _on_taken(self, pid: int, frontend_id: FrontendId) -> None:
+        if (
+            frontend_id in self.approvals
+        ):  # the other process had the id first; it may end before it denies it
+            self._decide(frontend_id, approved=False)
+        self.registries.of(frontend_id.frontend).grant(frontend_id.key, pid)
+
+    # Called by the timer
+
+    def tick(self) -> None:
+        """Tell the others which requests have ended, and log a process that does not answer."""
+        ended, self.ended = self.ended, []
+        if ended:
+            self._notify(IdMessageKind.ENDED, *ended)
+        unresponsive = set()
+        for approval in self.approvals.values():
+            approval.ticks += 1
+            if approval.ticks == UNRESPONSIVE_TICKS:
+                unresponsive.add(approval.remaining[0])
+        for pid in unresponsive:
+            log.warning("hot_restart_peer_unresponsive", process=pid)
--- a/ochreflow/app/sidecar.py
+++ b/ochreflow/app/sidecar.py
@@ -12,6 +12,7 @@
 from ..core.endpoints import EndpointUpdate
 from ..core.engine import Engine
 from ..core.limits import Descriptors, Memory, Usage
+from ..core.request_ids import RequestIdRegistries
 from ..http.discovery_transport import HttpDiscoveryTransport
 from ..http.frontend import HttpFrontend
 from ..http.read_scheduler import ReadScheduler
@@ -40,15 +41,25 @@
         config: Config,
         usage: Usage | None = None,
         cached_list: EndpointUpdate | None = None,
+        request_ids: RequestIdRegistries | None = None,
     ) -> None:
-        """Create the components and start the core with `cached_list`, by default that of `config`."""
+        """Create the components and start the core with `cached_list`, by default that of `config`.
+
+        `request_ids` are shared with other processes of this sidecar; by default there are none.
+        """
         usage = usage or Usage(Descriptors(config.sockets), Memory(config.memory))
         usage.descriptors.system_limit = system_limit
         usage.descriptors.apply_system_limit()
         settings, cached_list = config.settings, cached_list or config.cached_list
         self.endpoint_ids = config.endpoint_ids
         self.engine = Engine(
-            loop, settings, usage, config.endpoint_ids, max_open=config.transport.max_open, seed=config.seed
+            loop,
+            settings,
+            usage,
+            config.endpoint_ids,
+            max_open=config.transport.max_open,
+            seed=config.seed,
+            request_ids=request_ids,
         )
         read_scheduler = ReadScheduler(loop)
         self.upstreams = Upstreams(
--- a/ochreflow/core/attempt_manager.py
+++ b/ochreflow/core/attempt_manager.py
@@ -42,6 +42,7 @@
     attempts: int = 0  # started so far
     may_have_run: bool = False  # an attempt has ended without proof that it did not run
     unanswered: bool = True  # the final response has not been given yet
+    has_id: bool = True  # its id was not denied by another process of this sidecar
     uploading: bool = False  # the balancer counts its body as still being received
     streaming: Attempt | None = None  # the attempt whose response is being streamed to the client
 
--- a/ochreflow/core/engine.py
+++ b/ochreflow/core/engine.py
@@ -30,6 +30,7 @@
 from .limits import Usage
 from .loop_delay import LoopDelay
 from .ports import EndpointSource, Frontend, GossipSender, UpstreamTransport
+from .request_ids import RequestIdRegistries
 from .request_manager import RequestLimits, RequestManager
 from .stats import Gauges, Stats, render
 from .wall_clock import WallClock
@@ -49,10 +50,15 @@
         *,
         max_open: int,
         seed: int,
+        request_ids: RequestIdRegistries | None = None,
     ) -> None:
-        """Create the parts; allow `max_open` requests at a time, and seed the balancer with `seed`."""
+        """Create the parts; allow `max_open` requests at a time, and seed the balancer with `seed`.
+
+        `request_ids` are shared with other processes of this sidecar; by default there are none.
+        """
         self.loop = loop
         self.settings = settings
+        self.request_ids = request_ids or RequestIdRegistries()
         self.descriptors = usage.descriptors
         self.memory = usage.memory
         self.clock = Clock()
@@ -83,7 +89,9 @@
     ) -> FrontendBinding:
         """Add a frontend; its transport gets the servers known so far and all later updates."""
         counts = self.stats.add_frontend(label)
-        frontend_binding = FrontendBinding(label, frontend, upstream_transport, counts)
+        frontend_binding = FrontendBinding(
+            label, frontend, upstream_transport, counts, self.request_ids.of(label)
+        )
         self.frontend_bindings.append(frontend_binding)
         self.lifecycle.frontends.append(frontend)
         if upstream_transport not in self.transports:
--- a/ochreflow/core/log.py
+++ b/ochreflow/core/log.py
@@ -36,6 +36,7 @@
     "hot_restart_message_invalid": "invalid message from another process: its connection is closed",
     "hot_restart_peer_connected": "process {process} serves beside this one",
     "hot_restart_peer_disconnected": "process {process} is gone",
+    "hot_restart_peer_unresponsive": "process {process} does not answer: requests wait for it",
     "accept_paused": "no file descriptor left ({reason}): {closed} idle connections closed, "
     "accepting paused for {seconds} s",
     "connection_rejected": "connection from {address} rejected: {reason}",
--- a/ochreflow/core/ports.py
+++ b/ochreflow/core/ports.py
@@ -14,6 +14,7 @@
 
 from ..policy.interface import State, Status
 from .body import Body
+from .request_ids import IdKey
 from .stats import Disposition
 
 Address = tuple[str, int]
@@ -197,6 +198,18 @@
         ...
 
 
+class RequestIdArbiter(Protocol):
+    """Decides with the other processes of this sidecar whether a request id may be used."""
+
+    def claim(self, frontend: str, key: IdKey, decided: Callable[[bool], None]) -> None:
+        """Ask whether a request may be forwarded; `decided` is called once, possibly within this call."""
+        ...
+
+    def release(self, frontend: str, key: IdKey) -> None:
+        """Record that a request has ended, decided or not; `decided` is not called any more."""
+        ...
+
+
 class Frontend(Protocol):
     """Accepts requests from clients in one protocol."""
 
--- a/ochreflow/core/request_ids.py
+++ b/ochreflow/core/request_ids.py
@@ -2,35 +2,51 @@
 
 from __future__ import annotations
 
-from collections import deque
+import heapq
 from collections.abc import Hashable
+from dataclasses import dataclass
 from hashlib import blake2b
 from time import monotonic
 
 RETENTION_S = 4.0  # time after the end of a request for which its id may not be reused
+MAX_RETAINED_IDS = 8192  # bounds the memory for ids of ended requests; the oldest are released first
 MAX_ID_LENGTH = 64  # of a longer id, only a digest is kept
 DIGEST_BYTES = 32
-MAX_RETAINED_IDS = 8192  # bounds the memory for ids of ended requests; the oldest are released first
 
+IdKey = str  # the form in which an id is kept
+
+
+def compact(request_id: Hashable) -> IdKey:
+    """Return the key of an id, which is short: clients may choose ids as long as a header."""
+    text = request_id.decode("latin-1") if isinstance(request_id, bytes) else str(request_id)
+    if len(text) <= MAX_ID_LENGTH:
+        return text
+    return blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
 
-def compact(request_id: Hashable) -> Hashable:
-    """Return a short key for an id: clients may choose ids as long as a header."""
-    if isinstance(request_id, bytes) and len(request_id) > MAX_ID_LENGTH:
-        return blake2b(request_id, digest_size=DIGEST_BYTES).digest()
-    return request_id
+
+@dataclass(frozen=True, slots=True)
+class HeldId:
+    """An id that may not be reused, as told to another process of this sidecar."""
+
+    key: IdKey
+    owner: int | None  # pid of the other process whose request is open; None: this one's, or ended
+    remaining_s: float | None  # time for which an ended request's id is kept; None: the request is open
 
 
 class RequestIdRegistry:
     """Holds the ids of a frontend's open requests and of those that have just ended.
 
     The registry protects an open request from another one with the same id, which a server would take for a
-    second copy, and a request that has just been answered from running again.
+    second copy, and a request that has just been answered from running again. During a hot restart it also
+    holds the ids of the sidecar's other processes, as far as this one has been told of them.
     """
 
     def __init__(self) -> None:
         """Begin with no ids in use."""
-        self.in_use: set[Hashable] = set()
-        self.ended: deque[tuple[float, Hashable]] = deque()  # end time in seconds and id, oldest first
+        self.in_use: set[IdKey] = set()
+        self.owners: dict[IdKey, int] = {}  # pid of the process that has the open request, if not this one
+        self.expiry_s: dict[IdKey, float] = {}  # when the id of an ended request may be reused
+        self.ended: list[tuple[float, IdKey]] = []  # a heap of the same; it may have outdated entries
 
     def is_held(self, request_id: Hashable) -> bool:
         """Return whether the request of an id is open or has just ended."""
@@ -38,15 +54,84 @@
 
     def claim(self, request_id: Hashable) -> bool:
         """Claim an id for a new request; return False if it is in use."""
-        key = compact(request_id)
-        expired_before = monotonic() - RETENTION_S
-        while self.ended and (self.ended[0][0] < expired_before or len(self.ended) > MAX_RETAINED_IDS):
-            self.in_use.discard(self.ended.popleft()[1])
+        return self._hold(compact(request_id))
+
+    def release(self, request_id: Hashable) -> None:
+        """Record that the request of this id has ended: the id may be reused after `RETENTION_S`."""
+        self._retain(compact(request_id), RETENTION_S)
+
+    def withdraw(self, request_id: Hashable) -> None:
+        """Take back a claim that another process has denied."""
+        self.in_use.discard(compact(request_id))
+
+    def _hold(self, key: IdKey) -> bool:
+        self._expire()
         if key in self.in_use:
             return False
         self.in_use.add(key)
         return True
 
-    def release(self, request_id: Hashable) -> None:
-        """Record that the request of this id has ended: the id may be reused after `RETENTION_S`."""
-        self.ended.append((monotonic(), compact(request_id)))
+    def _retain(self, key: IdKey, seconds: float) -> None:
+        expiry_s = monotonic() + seconds
+        self.in_use.add(key)
+        self.expiry_s[key] = expiry_s
+        heapq.heappush(self.ended, (expiry_s, key))
+
+    def _expire(self) -> None:
+        now = monotonic()
+        while self.ended and (self.ended[0][0] < now or len(self.ended) > MAX_RETAINED_IDS):
+            expiry_s, key = heapq.heappop(self.ended)
+            if self.expiry_s.get(key) == expiry_s:
+                del self.expiry_s[key]
+                self.in_use.discard(key)
+
+    # Ids of the other processes of this sidecar
+
+    def grant(self, key: IdKey, owner: int) -> bool:
+        """Let the process `owner` use an id; return False if it is in use."""
+        if not self._hold(key):
+            return False
+        self.owners[key] = owner
+        return True
+
+    def end_remote(self, key: IdKey) -> None:
+        """Record that another process's request has ended."""
+        if self.owners.pop(key, None) is not None:
+            self._retain(key, RETENTION_S)
+
+    def end_all_of(self, owner: int) -> None:
+        """Record that a process has ended, and all of its requests with it."""
+        for key in [key for key, other in self.owners.items() if other == owner]:
+            self.end_remote(key)
+
+    def snapshot(self) -> list[HeldId]:
+        """Return all ids that may not be reused."""
+        self._expire()
+        now = monotonic()
+        held = []
+        for key in self.in_use:
+            expiry_s = self.expiry_s.get(key)
+            remaining_s = expiry_s - now if expiry_s is not None else None
+            held.append(HeldId(key, self.owners.get(key), remaining_s))
+        return held
+
+    def merge(self, held: HeldId, owner: int) -> None:
+        """Hold an id that another process has reported; `owner` has the open request."""
+        if held.key in self.in_use:
+            return
+        if held.remaining_s is not None:
+            self._retain(held.key, min(held.remaining_s, RETENTION_S))
+        else:
+            self.grant(held.key, owner)
+
+
+class RequestIdRegistries:
+    """The registries of all frontends: ids are unique within one frontend only."""
+
+    def __init__(self) -> None:
+        """Begin without frontends."""
+        self.by_frontend: dict[str, RequestIdRegistry] = {}
+
+    def of(self, frontend: str) -> RequestIdRegistry:
+        """Return the registry of a frontend; another process may know of it earlier than this one."""
+        return self.by_frontend.setdefault(frontend, RequestIdRegistry())
--- a/ochreflow/core/request_manager.py
+++ b/ochreflow/core/request_manager.py
@@ -13,7 +13,8 @@
 from .frontend_binding import FrontendBinding
 from .lifecycle import Lifecycle
 from .log import log
-from .ports import FinalResponse, IncomingRequest, Reason, ResponseSink
+from .ports import FinalResponse, IncomingRequest, Reason, RequestIdArbiter, ResponseSink
+from .request_ids import compact
 from .stats import Disposition, Stats
 
 WATCHDOG_MARGIN_NS = 8 * NS_PER_MS  # a request without a response is answered this long before its deadline
@@ -48,6 +49,7 @@
         self.attempts = AttemptManager(self, dispatcher, stats, limits.max_attempts)
         self.pending: dict[int, PendingRequest] = {}
         self.next_id = 1
+        self.arbiter: RequestIdArbiter | None = None  # decides on ids while other processes may have them
 
     # From frontends
 
@@ -72,12 +74,31 @@
         if len(self.pending) > self.max_open:
             self.finish(pending, FinalResponse(Disposition.DECLINED, Reason.OVERLOADED))
             return
-        pending.uploading = not request.body.complete
-        if pending.uploading:
-            discarded = api.BodyDiscarded(pending.id)
-            request.body.on_discarded = partial(self.dispatcher.dispatch, discarded)
-        else:
+        if request.body.complete:
             self._start_watchdog(pending)
+        if self.arbiter is None:
+            self._begin(pending)
+        else:
+            key = compact(request.request_id)
+            self.arbiter.claim(frontend_binding.label, key, partial(self._id_decided, pending))
+
+    def _id_decided(self, pending: PendingRequest, approved: bool) -> None:  # noqa: FBT001  # by position
+        """Begin a request, or refuse it because another process of this sidecar has its id."""
+        if not pending.unanswered:
+            return
+        if approved:
+            self._begin(pending)
+            return
+        pending.has_id = False
+        pending.frontend_binding.request_ids.withdraw(pending.request.request_id)
+        self.finish(pending, FinalResponse(Disposition.ABORTED, Reason.DUPLICATE_REQUEST_ID))
+
+    def _begin(self, pending: PendingRequest) -> None:
+        """Pass a request to the balancer."""
+        body = pending.request.body
+        pending.uploading = not body.complete
+        if pending.uploading:
+            body.on_discarded = partial(self.dispatcher.dispatch, api.BodyDiscarded(pending.id))
         self.dispatcher.dispatch(self._request_event(pending))
 
     def _request_event(self, pending: PendingRequest) -> api.Request:
@@ -184,12 +205,20 @@
 
     def _mark_answered(self, pending: PendingRequest) -> None:
         pending.unanswered = False
-        pending.frontend_binding.request_ids.release(pending.request.request_id)
+        self._release_id(pending)
         self.pending.pop(pending.id, None)
         if pending.watchdog is not None:
             pending.watchdog.cancel()
         self.attempts.cancel_unwritten(pending)
 
+    def _release_id(self, pending: PendingRequest) -> None:
+        if not pending.has_id:
+            return
+        binding, request_id = pending.frontend_binding, pending.request.request_id
+        binding.request_ids.release(request_id)
+        if self.arbiter is not None:
+            self.arbiter.release(binding.label, compact(request_id))
+
     # The deadline watchdog
 
     def _start_watchdog(self, pending: PendingRequest) -> None:
