Keep the id of a request in use until its last attempt has ended

What callers would see: a client leaves, its attempt goes on at a server (`cancel` off in the settings), and 4 s later its id is accepted again, so a second copy is out beside the first.

Cause: the id was released with the final response or the client's disconnect, and kept for 4 s from then, while attempts may go on until the deadline.

Change: the id is released when the request has been answered and no attempt of it is in flight.

Measured: the new test of `tests/test_request_id_sharing.py` failed before (502 in place of 409: the request was forwarded again).

--- a/ochreflow/core/attempt_manager.py
+++ b/ochreflow/core/attempt_manager.py
@@ -42,7 +42,7 @@
     attempts: int = 0  # started so far
     may_have_run: bool = False  # an attempt has ended without proof that it did not run
     unanswered: bool = True  # the final response has not been given yet
-    has_id: bool = True  # its id was not denied by another process of this sidecar
+    has_id: bool = True  # its id was neither released nor denied by another process of this sidecar
     uploading: bool = False  # the balancer counts its body as still being received
     streaming: Attempt | None = None  # the attempt whose response is being streamed to the client
 
@@ -58,6 +58,10 @@
         """End a response that was streamed."""
         ...
 
+    def attempts_ended(self, pending: PendingRequest) -> None:
+        """Record that an answered request has no attempt in flight any more."""
+        ...
+
 
 class Attempt:
     """One attempt, to which its transport reports until the attempt ends; implements `AttemptObserver`."""
@@ -281,6 +285,8 @@
         self.dispatcher.dispatch(
             api.Outcome(pending.id, attempt.number, attempt.server, status, duration_ns, final, report)
         )
+        if not pending.unanswered and not self.of_request(pending):
+            self.response_path.attempts_ended(pending)
 
     def give_up(self, attempt: Attempt, status: Status) -> None:
         """End an attempt within this call, even if its transport fails to."""
--- a/ochreflow/core/request_manager.py
+++ b/ochreflow/core/request_manager.py
@@ -205,15 +205,18 @@
 
     def _mark_answered(self, pending: PendingRequest) -> None:
         pending.unanswered = False
-        self._release_id(pending)
         self.pending.pop(pending.id, None)
         if pending.watchdog is not None:
             pending.watchdog.cancel()
         self.attempts.cancel_unwritten(pending)
+        if not self.attempts.of_request(pending):
+            self.attempts_ended(pending)
 
-    def _release_id(self, pending: PendingRequest) -> None:
+    def attempts_ended(self, pending: PendingRequest) -> None:
+        """Release the id of an answered request: until now a server may have been running it."""
         if not pending.has_id:
             return
+        pending.has_id = False
         binding, request_id = pending.frontend_binding, pending.request.request_id
         binding.request_ids.release(request_id)
         if self.arbiter is not None:
--- a/tests/test_request_id_sharing.py
+++ b/tests/test_request_id_sharing.py
@@ -13,6 +13,7 @@
 from net_helpers import (
     HOST,
     FakePeer,
+    Sidecar,
     config,
     endpoint_update,
     entry,
@@ -350,6 +351,38 @@
     run(scenario())
 
 
+def test_an_id_stays_in_use_while_an_attempt_of_a_client_that_left_is_out(tmp_path, monkeypatch):
+    """Guards against a second copy beside an attempt that goes on for longer than ended ids are kept."""
+    monkeypatch.setattr(request_ids, "RETENTION_S", 0.1)
+
+    async def scenario():
+        answer = asyncio.Event()
+
+        async def answer_later(message, reader, writer):
+            await answer.wait()
+            writer.write(http_response())
+
+        fake = await FakePeer(answer_later).start()
+        data = config(endpoint_update(1, entry("s1", fake.address)))
+        data["settings"]["ceilings"]["cancel"] = False  # attempts go on when their clients have left
+        async with Sidecar(tmp_path / "c", data) as sidecar:
+            request = http_request("order", "open")
+            _, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(request)
+            await wait_until(lambda: fake.received)
+            writer.close()
+            await wait_until(lambda: not sidecar.http.clients.connections)
+            await asyncio.sleep(0.3)
+            assert (await send_request(sidecar.port, request)).code == 409
+            answer.set()
+            await wait_until(lambda: not sidecar.engine.attempts.in_flight)
+            await asyncio.sleep(0.3)
+            assert (await send_request(sidecar.port, request)).code == 200
+            assert len(fake.received) == 2
+
+    run(scenario())
+
+
 class Wire:
     """One direction of a link: messages that are sent and not yet delivered."""
 
