--- a/ochreflow/core/attempt_manager.py
+++ b/ochreflow/core/attempt_manager.py
@@ -285,7 +285,7 @@
         self.dispatcher.dispatch(
             api.Outcome(pending.id, attempt.number, attempt.server, status, duration_ns, final, report)
         )
-        if not pending.unanswered and not self.of_request(pending):
+        if pending.has_id and not pending.unanswered and not self.of_request(pending):
             self.response_path.attempts_ended(pending)
 
     def give_up(self, attempt: Attempt, status: Status) -> None:
--- a/ochreflow/core/request_manager.py
+++ b/ochreflow/core/request_manager.py
@@ -208,9 +208,10 @@
         self.pending.pop(pending.id, None)
         if pending.watchdog is not None:
             pending.watchdog.cancel()
-        self.attempts.cancel_unwritten(pending)
         if not self.attempts.of_request(pending):
             self.attempts_ended(pending)
+            return
+        self.attempts.cancel_unwritten(pending)
 
     def attempts_ended(self, pending: PendingRequest) -> None:
         """Release the id of an answered request: until now a server may have been running it."""
--- a/ochreflow/http/read_scheduler.py
+++ b/ochreflow/http/read_scheduler.py
@@ -20,12 +20,14 @@
 from typing import Protocol
 
 MIN_READ_BYTES = 1024
-FIRST_READ_BYTES = 4 * 1024  # a whole head, in most cases
+FIRST_READ_BYTES = 16 * 1024  # a whole message, in most cases
 MAX_READ_BYTES = 48 * 1024
 SHORT_READ_S = 0.000_25  # after a read that takes less, the next one is larger
 LONG_READ_S = 0.001  # after a read that takes more, the next one is smaller
 TIME_SLICE_S = 0.000_5  # time of one connection in one iteration
 ITERATION_TIME_S = 0.01  # time of all connections in one iteration
+SAME_ITERATION_GAP_S = 0.000_2  # reads with a longer gap between them are not in one series
+LONG_SERIES_S = 0.005  # after a series of reads that takes more, the loop is asked to mark the next iteration
 RESUMED_PER_ITERATION = 4  # connections that go on after their time slice was over
 
 
@@ -57,7 +59,8 @@
         """Start without connections that wait."""
         self.loop = loop
         self.iteration = 0
-        self.iteration_began_s: float | None = None  # when the first connection was read in it
+        self.iteration_began_s = 0.0  # when the first connection was read in it
+        self.last_read_s = 0.0
         self.next_iteration_scheduled = False
         self.delayed: dict[PacedReader, None] = {}  # their iteration was over
         self.preempted: dict[PacedReader, None] = {}  # their time slice was over
@@ -65,21 +68,31 @@
     def begin_read(self, pace: ReadPace) -> bool:
         """Begin a read of at most `pace.read_bytes`; return False if the iteration has no time left."""
         now = monotonic()
-        if self.iteration_began_s is None:
-            self.iteration += 1
-            self.iteration_began_s = now
-            self._schedule_next_iteration()
+        if not self.next_iteration_scheduled:
+            self._observe_series(now)
+        self.last_read_s = now
         if pace.iteration != self.iteration:
             pace.iteration = self.iteration
             pace.slice_began_s = now
         pace.read_began_s = now
         return now - self.iteration_began_s < ITERATION_TIME_S
 
+    def _observe_series(self, now: float) -> None:
+        """Recognize a new iteration by the time since the last read; while that is short, by a callback.
+
+        The callback alone would be exact, but it costs the loop one more poll in each iteration.
+        """
+        if now - self.last_read_s > SAME_ITERATION_GAP_S:
+            self.iteration += 1
+            self.iteration_began_s = now
+        elif now - self.iteration_began_s > LONG_SERIES_S:
+            self._schedule_next_iteration()
+
     def end_read(self, pace: ReadPace, size: int) -> bool:
         """Record that `size` bytes were read and processed; return False if the connection has to wait."""
+        now = self.last_read_s = monotonic()
         if size < pace.read_bytes:
             return True  # nothing more has arrived
-        now = monotonic()
         duration = now - pace.read_began_s
         if duration > LONG_READ_S:
             pace.read_bytes = max(pace.read_bytes // 2, MIN_READ_BYTES)
@@ -110,7 +123,8 @@
     def _begin_iteration(self) -> None:
         """Resume the connections that wait, as many as this iteration has time for."""
         self.next_iteration_scheduled = False
-        self.iteration_began_s = None
+        self.iteration += 1
+        self.iteration_began_s = monotonic()
         self._resume(self.delayed, len(self.delayed))
         self._resume(self.preempted, RESUMED_PER_ITERATION)
         if self.delayed or self.preempted:
