--- a/ochreflow/app/request_id_sharing.py
+++ b/ochreflow/app/request_id_sharing.py
@@ -139,14 +139,36 @@
 
     def linked(self, pid: int, greeting: IdGreeting, channel: IdChannel) -> None:
         """Record the greeting of another process, on its first link or on a further one."""
+        was_unlinked = self.is_unlinked(pid)
         self.channels[channel] = pid
         self.peers[pid] = Peer(greeting.started_ns, channel)
+        if was_unlinked:
+            self._end_unreported(pid, greeting)
         for shared in greeting.held:
-            owner = pid if shared.held.owner is None else shared.held.owner
-            if owner != self.pid:
-                self.registries.of(shared.frontend).merge(shared.held, owner)
+            self._merge(pid, shared)
         self._ask_again(pid)
 
+    def _end_unreported(self, pid: int, greeting: IdGreeting) -> None:
+        """End the requests of a process that ended while it had no link."""
+        for frontend, registry in self.registries.by_frontend.items():
+            still_open = {
+                shared.held.key
+                for shared in greeting.held
+                if shared.frontend == frontend
+                and shared.held.owner is None
+                and shared.held.remaining_s is None
+            }
+            registry.end_others_of(pid, still_open)
+
+    def _merge(self, pid: int, shared: SharedId) -> None:
+        owner = pid if shared.held.owner is None else shared.held.owner
+        if owner == self.pid:
+            return
+        frontend_id = FrontendId(shared.frontend, shared.held.key)
+        if frontend_id in self.approvals and self._is_older(pid):
+            self._decide(frontend_id, approved=False)  # it had the id first, and may end before it denies it
+        self.registries.of(shared.frontend).merge(shared.held, owner)
+
     def closed(self, channel: IdChannel) -> bool:
         """Record that a link has ended; return whether its process has no other one, and may still run."""
         pid = self.channels.pop(channel, None)
@@ -174,7 +196,7 @@
         if self.peers.pop(pid, None) is None:
             return
         for registry in self.registries.by_frontend.values():
-            registry.end_all_of(pid)
+            registry.end_others_of(pid, still_open=())
         self._ask_again(pid)
 
     def received(self, pid: int, message: IdMessage) -> None:
@@ -190,7 +212,7 @@
                 case IdMessageKind.TAKEN:
                     self._on_taken(pid, frontend_id)
                 case IdMessageKind.ENDED:
-                    self.registries.of(frontend_id.frontend).end_remote(frontend_id.key)
+                    self.registries.of(frontend_id.frontend).end_remote(frontend_id.key, pid)
 
     def _on_ask(self, pid: int, frontend_id: FrontendId) -> None:
         approval = self.approvals.get(frontend_id)
@@ -218,10 +240,8 @@
             self._decide(frontend_id, approved=False)
 
     def _on_taken(self, pid: int, frontend_id: FrontendId) -> None:
-        if (
-            frontend_id in self.approvals
-        ):  # the other process had the id first; it may end before it denies it
-            self._decide(frontend_id, approved=False)
+        if frontend_id in self.approvals:
+            self._decide(frontend_id, approved=False)  # it had the id first, and may end before it denies it
         self.registries.of(frontend_id.frontend).grant(frontend_id.key, pid)
 
     # Called by the timer
--- a/ochreflow/core/request_ids.py
+++ b/ochreflow/core/request_ids.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Hashable
+from collections.abc import Container, Hashable
 from dataclasses import dataclass
 from hashlib import blake2b
 from time import monotonic
@@ -17,9 +17,9 @@
 
 
 def compact(request_id: Hashable) -> IdKey:
-    """Return the key of an id, which is short: clients may choose ids as long as a header."""
+    """Return the key of an id, which is short, also in JSON: clients may choose ids as long as a header."""
     text = request_id.decode("latin-1") if isinstance(request_id, bytes) else str(request_id)
-    if len(text) <= MAX_ID_LENGTH:
+    if len(text) <= MAX_ID_LENGTH and text.isascii():
         return text
     return blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
 
@@ -94,15 +94,17 @@
         self.owners[key] = owner
         return True
 
-    def end_remote(self, key: IdKey) -> None:
-        """Record that another process's request has ended."""
-        if self.owners.pop(key, None) is not None:
+    def end_remote(self, key: IdKey, owner: int) -> None:
+        """Record that a request of the process `owner` has ended, if that has the id."""
+        if self.owners.get(key) == owner:
+            del self.owners[key]
             self._retain(key, RETENTION_S)
 
-    def end_all_of(self, owner: int) -> None:
-        """Record that a process has ended, and all of its requests with it."""
-        for key in [key for key, other in self.owners.items() if other == owner]:
-            self.end_remote(key)
+    def end_others_of(self, owner: int, still_open: Container[IdKey]) -> None:
+        """Record that all requests of a process have ended but those that are still open."""
+        ended = [key for key, other in self.owners.items() if other == owner and key not in still_open]
+        for key in ended:
+            self.end_remote(key, owner)
 
     def snapshot(self) -> list[HeldId]:
         """Return all ids that may not be reused."""
--- a/ochreflow/http/connection.py
+++ b/ochreflow/http/connection.py
@@ -48,8 +48,11 @@
 
     @property
     def serving(self) -> bool:
-        """Whether a response is pending, or written and not yet acknowledged by the client's host."""
-        return self.current is not None or bool(self.queue) or not self.delivered
+        """Whether a response is pending, or written and not yet acknowledged by the client's host.
+
+        Data that is read and not processed may be a request, so its response counts as pending.
+        """
+        return self.current is not None or bool(self.queue) or bool(self.unprocessed) or not self.delivered
 
     @property
     def delivered(self) -> bool:
--- a/ochreflow/http/paced_protocol.py
+++ b/ochreflow/http/paced_protocol.py
@@ -76,10 +76,15 @@
         """Process what was left over, and read on."""
         self.waits_to_read = False
         data, self.unprocessed = self.unprocessed, b""
-        if data:
-            self.data_received(memoryview(data))
-        else:
-            self.continue_processing()
+        try:
+            if data:
+                self.data_received(memoryview(data))
+            else:
+                self.continue_processing()
+        except Exception:
+            if self.transport is not None:
+                self.transport.abort()  # the state of the connection is unknown now
+            raise
         self._apply_reading()
 
     # Called by the derived classes
--- a/ochreflow/http/read_scheduler.py
+++ b/ochreflow/http/read_scheduler.py
@@ -125,10 +125,12 @@
         self.next_iteration_scheduled = False
         self.iteration += 1
         self.iteration_began_s = monotonic()
-        self._resume(self.delayed, len(self.delayed))
-        self._resume(self.preempted, RESUMED_PER_ITERATION)
-        if self.delayed or self.preempted:
-            self._schedule_next_iteration()
+        try:
+            self._resume(self.delayed, len(self.delayed))
+            self._resume(self.preempted, RESUMED_PER_ITERATION)
+        finally:  # a fault of one connection must not keep the others waiting
+            if self.delayed or self.preempted:
+                self._schedule_next_iteration()
 
     @staticmethod
     def _resume(waiting: dict[PacedReader, None], limit: int) -> None:
--- a/ochreflow/http/upstream_connection.py
+++ b/ochreflow/http/upstream_connection.py
@@ -175,7 +175,9 @@
     def _watch_for_stall(self) -> None:
         """Give up a response that stalls; otherwise the exchange would wait until its deadline."""
         timeout_s = RELAY_STALL_TIMEOUT_S if self.response.relaying else RESPONSE_STALL_TIMEOUT_S
-        silent_s = 0.0 if self.exchange is not None and self.exchange.paused else monotonic() - self.last_read
+        # While the sidecar itself does not read, the server is not silent.
+        not_read = self.stream.waits_to_read or (self.exchange is not None and self.exchange.paused)
+        silent_s = 0.0 if not_read else monotonic() - self.last_read
         if silent_s >= timeout_s:
             self.read_stall = None
             self.connection_broken()
--- a/tests/test_read_scheduler.py
+++ b/tests/test_read_scheduler.py
@@ -132,6 +132,23 @@
     assert scheduler.end_read(pace, MIN_READ_BYTES - 1) and pace.read_bytes == MIN_READ_BYTES
 
 
+def test_a_fault_of_one_connection_does_not_keep_the_others_waiting(clock):
+    loop = Loop()
+    scheduler = ReadScheduler(loop)
+    faulty, other = (Reader(scheduler, clock, TIME_SLICE_S) for _ in range(2))
+
+    def fail():
+        raise RuntimeError("simulated fault")
+
+    faulty.continue_reading = fail
+    scheduler.delay(faulty)
+    scheduler.delay(other)
+    with pytest.raises(RuntimeError):
+        loop.iterate()
+    loop.iterate()
+    assert other.iterations
+
+
 def test_a_removed_connection_is_not_resumed(clock):
     loop = Loop()
     scheduler = ReadScheduler(loop)
--- a/tests/test_request_id_sharing.py
+++ b/tests/test_request_id_sharing.py
@@ -310,6 +310,56 @@
     run(scenario())
 
 
+@pair
+async def test_the_end_of_a_request_that_a_broken_link_did_not_tell_is_noticed(old, new):
+    """Guards against ids that stay in use, and in memory, for as long as their process runs."""
+    for one, other in ((old, new), (new, old)):
+        key = f"of {one.sharing.pid}"
+        assert await one.decide(key)
+        await wait_until(lambda other=other, key=key: key in other.registry.owners)
+        one.break_links()
+        one.end(key)
+        one.sharing.tick()  # nothing is sent on the closed link
+        await wait_until(lambda other=other, key=key: key not in other.registry.owners)
+        assert other.registry.is_held(key)
+
+
+def test_only_the_owner_of_an_id_ends_it(monkeypatch):
+    """Guards against an id that is free again since a process that had asked for it too gave it up."""
+    registry = RequestIdRegistries().of(FRONTEND)
+    assert registry.grant("id", 5)
+    registry.end_remote("id", 3)
+    now = request_ids.monotonic()
+    monkeypatch.setattr(request_ids, "monotonic", lambda: now + 2 * RETENTION_S)
+    assert not registry.claim("id")
+
+
+def test_ids_are_short_in_json_too():
+    """Guards against a greeting that is longer than a line may be: JSON escapes some characters."""
+    key = request_ids.compact(bytes([0xE9]) * MAX_ID_LENGTH)
+    assert key.isascii() and len(key) <= MAX_ID_LENGTH
+
+
+def test_an_id_that_the_old_process_reports_is_refused_although_it_ends_before_it_answers():
+    """The notice of the id was lost with the link; the new process waits and hears the next greeting."""
+    old = SidecarProcess(RequestIdSharing(1, RequestIdRegistries()))
+    new = SidecarProcess(RequestIdSharing(2, RequestIdRegistries()))
+    old.alive = new.alive = True
+    link = SimulatedLink(old, new)
+    for wire in link.wires:
+        link.deliver(wire)
+    old.claim("id")
+    link.break_off(delivered=False)
+    for wire in link.wires:
+        wire.sender.sharing.closed(wire)
+    new.claim("id")
+    link = SimulatedLink(old, new)
+    link.deliver(link.wires[0])
+    new.sharing.closed(link.wires[1])
+    new.sharing.gone(1)
+    assert old.begun == {"id"} and not new.begun and new.registry.is_held("id")
+
+
 @pytest.mark.parametrize("moment", ["before SIGTERM", "after SIGTERM", "after the old process has ended"])
 def test_a_request_that_is_open_at_the_old_process_does_not_run_again_at_the_new_one(tmp_path, moment):
     """Guards against the id of an open request that is taken again by the new version (review case 2)."""
