Keep ended ids in one queue, and test limits that nothing tested

Cause: a second reading broke the code once for each limit. No test failed without the framing limit of answers, without either limit of header lines, with parts of an answer not joined, and the stall timer and the eviction had none. The ids of ended requests had a heap and a map of times, only to keep the rest of a time that a new process was told.

Change: ended ids are in one queue; those that another process reports are kept for 4 s anew. Header lines are counted by a number.

--- a/ochreflow/app/request_id_messages.py
+++ b/ochreflow/app/request_id_messages.py
@@ -1,9 +1,9 @@
 """What the processes of one sidecar tell each other of request ids: the key `ids` of their messages.
 
 In a greeting it has the start of the process and the ids that it holds, each with the pid of the process
-whose request is open (null: the sender's own, or ended) and the seconds for which it is kept (null: open):
+whose request is open (null: the sender's own, or ended) and whether the request has ended:
 
-    {"since": NANOSECONDS, "held": [[FRONTEND, KEY, PID, SECONDS], ...]}
+    {"since": NANOSECONDS, "held": [[FRONTEND, KEY, PID, ENDED], ...]}
 
 In later messages it has one entry, whose key is an `IdMessageKind`:
 
@@ -67,8 +67,7 @@
 def format_id_greeting(greeting: IdGreeting) -> dict[str, Any]:
     """Return the value of the key `ids` in a greeting."""
     held = [
-        [shared.frontend, shared.held.key, shared.held.owner, shared.held.remaining_s]
-        for shared in greeting.held
+        [shared.frontend, shared.held.key, shared.held.owner, shared.held.ended] for shared in greeting.held
     ]
     return {"since": greeting.started_ns, "held": held}
 
@@ -76,15 +75,8 @@
 def parse_id_greeting(data: dict[str, Any]) -> IdGreeting:
     """Return the greeting with this value of the key `ids`."""
     held = tuple(
-        SharedId(
-            str(frontend),
-            HeldId(
-                str(key),
-                int(owner) if owner is not None else None,
-                float(remaining_s) if remaining_s is not None else None,
-            ),
-        )
-        for frontend, key, owner, remaining_s in data["held"]
+        SharedId(str(frontend), HeldId(str(key), int(owner) if owner is not None else None, bool(ended)))
+        for frontend, key, owner, ended in data["held"]
     )
     return IdGreeting(int(data["since"]), held)
 
--- a/ochreflow/app/request_id_sharing.py
+++ b/ochreflow/app/request_id_sharing.py
@@ -154,9 +154,7 @@
             still_open = {
                 shared.held.key
                 for shared in greeting.held
-                if shared.frontend == frontend
-                and shared.held.owner is None
-                and shared.held.remaining_s is None
+                if shared.frontend == frontend and shared.held.owner is None and not shared.held.ended
             }
             registry.end_others_of(pid, still_open)
 
--- a/ochreflow/core/request_ids.py
+++ b/ochreflow/core/request_ids.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import heapq
+from collections import deque
 from collections.abc import Container, Hashable
 from dataclasses import dataclass
 from hashlib import blake2b
@@ -30,7 +30,7 @@
 
     key: IdKey
     owner: int | None  # pid of the other process whose request is open; None: this one's, or ended
-    remaining_s: float | None  # time for which an ended request's id is kept; None: the request is open
+    ended: bool
 
 
 class RequestIdRegistry:
@@ -45,8 +45,7 @@
         """Begin with no ids in use."""
         self.in_use: set[IdKey] = set()
         self.owners: dict[IdKey, int] = {}  # pid of the process that has the open request, if not this one
-        self.expiry_s: dict[IdKey, float] = {}  # when the id of an ended request may be reused
-        self.ended: list[tuple[float, IdKey]] = []  # a heap of the same; it may have outdated entries
+        self.ended: deque[tuple[float, IdKey]] = deque()  # end time in seconds and id, oldest first
 
     def is_held(self, request_id: Hashable) -> bool:
         """Return whether the request of an id is open or has just ended."""
@@ -58,7 +57,7 @@
 
     def release(self, request_id: Hashable) -> None:
         """Record that the request of this id has ended: the id may be reused after `RETENTION_S`."""
-        self._retain(compact(request_id), RETENTION_S)
+        self._retain(compact(request_id))
 
     def withdraw(self, request_id: Hashable) -> None:
         """Take back a claim that another process has denied."""
@@ -71,19 +70,14 @@
         self.in_use.add(key)
         return True
 
-    def _retain(self, key: IdKey, seconds: float) -> None:
-        expiry_s = monotonic() + seconds
+    def _retain(self, key: IdKey) -> None:
         self.in_use.add(key)
-        self.expiry_s[key] = expiry_s
-        heapq.heappush(self.ended, (expiry_s, key))
+        self.ended.append((monotonic(), key))
 
     def _expire(self) -> None:
-        now = monotonic()
-        while self.ended and (self.ended[0][0] < now or len(self.ended) > MAX_RETAINED_IDS):
-            expiry_s, key = heapq.heappop(self.ended)
-            if self.expiry_s.get(key) == expiry_s:
-                del self.expiry_s[key]
-                self.in_use.discard(key)
+        expired_before = monotonic() - RETENTION_S
+        while self.ended and (self.ended[0][0] < expired_before or len(self.ended) > MAX_RETAINED_IDS):
+            self.in_use.discard(self.ended.popleft()[1])
 
     # Ids of the other processes of this sidecar
 
@@ -98,7 +92,7 @@
         """Record that a request of the process `owner` has ended, if that has the id."""
         if self.owners.get(key) == owner:
             del self.owners[key]
-            self._retain(key, RETENTION_S)
+            self._retain(key)
 
     def end_others_of(self, owner: int, still_open: Container[IdKey]) -> None:
         """Record that all requests of a process have ended but those that are still open."""
@@ -109,20 +103,18 @@
     def snapshot(self) -> list[HeldId]:
         """Return all ids that may not be reused."""
         self._expire()
-        now = monotonic()
-        held = []
-        for key in self.in_use:
-            expiry_s = self.expiry_s.get(key)
-            remaining_s = expiry_s - now if expiry_s is not None else None
-            held.append(HeldId(key, self.owners.get(key), remaining_s))
-        return held
+        ended = {key for _, key in self.ended}
+        return [HeldId(key, self.owners.get(key), key in ended) for key in self.in_use]
 
     def merge(self, held: HeldId, owner: int) -> None:
-        """Hold an id that another process has reported; `owner` has the open request."""
+        """Hold an id that another process has reported; `owner` has the open request.
+
+        The id of an ended request is kept for another `RETENTION_S`.
+        """
         if held.key in self.in_use:
             return
-        if held.remaining_s is not None:
-            self._retain(held.key, min(held.remaining_s, RETENTION_S))
+        if held.ended:
+            self._retain(held.key)
         else:
             self.grant(held.key, owner)
 
--- a/ochreflow/http/request_reader.py
+++ b/ochreflow/http/request_reader.py
@@ -116,6 +116,7 @@
         self.message_size = 0  # bytes received of this message
         self.framing_bytes = 0  # bytes received since the last byte of the body
         self.headers_bytes = 0
+        self.header_lines = 0
         self.message_reserved_bytes = 0  # memory reserved for its headers
         self.queued_item_bytes = 0  # of these, memory that it takes while it is queued behind others
         self.discarding = False  # the response is written: the rest of the message is discarded
@@ -198,7 +199,8 @@
         self.headers[lower_name] = value
         if lower_name not in NOT_FORWARDED:
             self.forwarded_lines.append(name + b": " + value + b"\r\n")
-        if len(self.headers) > MAX_HEADER_LINES or len(self.forwarded_lines) > MAX_HEADER_LINES:
+        self.header_lines += 1
+        if self.header_lines > MAX_HEADER_LINES:
             self._reject(431, "too many header lines")
 
     def on_headers_complete(self) -> None:
@@ -344,7 +346,7 @@
         """Reserve memory for the head, and for the queued request if others are before it."""
         if self.queue or self.current is not None:
             self.queued_item_bytes = QUEUED_ITEM_BYTES
-        lines_bytes = self.headers_bytes + HEADER_LINE_BYTES * len(self.forwarded_lines)
+        lines_bytes = self.headers_bytes + HEADER_LINE_BYTES * self.header_lines
         return self._reserve(lines_bytes + self.queued_item_bytes)
 
     def _reserve(self, size: int) -> bool:
--- a/tests/test_peer_bounds.py
+++ b/tests/test_peer_bounds.py
@@ -1,10 +1,12 @@
 """What one peer sends at full speed takes a bounded share of an iteration of the loop, and of the memory."""
 
 import asyncio
+import gc
 import os
 import socket
 import threading
 import time
+import tracemalloc
 
 import pytest
 from net_helpers import (
@@ -16,15 +18,20 @@
     endpoint_update,
     entry,
     http_request,
+    http_response,
     never_answer,
     run,
     send_request,
     wait_until,
 )
-from peer_inputs import CLIENT_INPUTS, SERVER_INPUTS, Flood, TurnMeter
+from peer_inputs import CLIENT_INPUTS, SEND_AT_LEAST_BYTES, SERVER_INPUTS, Flood, TurnMeter
 
+from ochreflow.core.body import MAX_BUFFERED_BYTES
+from ochreflow.core.limits import MB, Memory
 from ochreflow.core.request_ids import MAX_ID_LENGTH, RequestIdRegistry
-from ochreflow.http import request_reader
+from ochreflow.http import request_reader, upstream_connection
+from ochreflow.http.request_reader import MAX_HEADER_LINES
+from ochreflow.http.response import ResponseParser
 
 PEERS = 20
 FLOOD_S = 0.6
@@ -181,6 +188,106 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("name", ["answer-trailer-of-one-line", "answer-chunk-extension"])
+def test_an_answer_without_a_byte_of_body_for_long_is_invalid(name):
+    """Guards against a line of a trailer that the parser buffers without limit."""
+    peer_input = next(item for item in SERVER_INPUTS if item.name == name)
+    parser = ResponseParser(Memory(192 * MB))
+    parser.start(MAX_BUFFERED_BYTES, may_relay=True)
+    parser.feed(peer_input.beginning)
+    received = 0
+    while not parser.invalid and received < MB:
+        received += len(peer_input.burst())
+        parser.feed(peer_input.burst())
+    assert parser.invalid and received <= 2 * SEND_AT_LEAST_BYTES
+
+
+def test_an_answer_has_a_limited_number_of_header_lines():
+    def is_invalid(lines):
+        parser = ResponseParser(Memory(192 * MB))
+        parser.start(MAX_BUFFERED_BYTES, may_relay=True)
+        parser.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + b"a:\r\n" * lines + b"\r\n")
+        return parser.invalid
+
+    assert not is_invalid(MAX_HEADER_LINES)
+    assert is_invalid(MAX_HEADER_LINES + 1)
+
+
+def test_a_request_has_a_limited_number_of_header_lines(tmp_path):
+    async def scenario():
+        fake = await FakePeer(answer_ok).start()
+        async with sidecar_before(tmp_path, fake.address) as sidecar:
+            own_lines = http_request("order", "few").count(b"\r\n") - 2  # without the first and the empty one
+            for lines, code in ((MAX_HEADER_LINES, 200), (MAX_HEADER_LINES + 1, 431)):
+                added = [f"a{number}: 1" for number in range(lines - own_lines)]
+                request = http_request("order", f"id{lines}", "3000m", b"", *added)
+                assert (await send_request(sidecar.port, request)).code == code
+
+    run(scenario())
+
+
+def test_a_buffered_answer_in_short_chunks_takes_little_more_than_its_bytes():
+    """Guards against an object of 34 bytes for each byte of an answer."""
+    answer = b"HTTP/1.1 500 X\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 8000
+    gc.collect()
+    tracemalloc.start()
+    parser = ResponseParser(Memory(192 * MB))
+    parser.start(MAX_BUFFERED_BYTES, may_relay=False)
+    parser.feed(answer)
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert not parser.invalid and held_bytes < 4 * 8000
+    parser.feed(b"0\r\n\r\n")
+    assert parser.complete.body == b"x" * 8000
+
+
+def test_a_connection_with_data_that_is_not_processed_is_not_evicted(tmp_path):
+    """Guards against the close of a connection whose request has been read and not parsed yet."""
+
+    async def scenario():
+        fake = await FakePeer(answer_ok).start()
+        async with sidecar_before(tmp_path, fake.address) as sidecar:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            await wait_until(lambda: sidecar.http.clients.connections)
+            (client,) = sidecar.http.clients.connections
+            client.read_scheduler.begin_read = lambda pace: False  # no iteration has time left
+            client.read_scheduler.delay = lambda reader: None
+            writer.write(http_request("order", "id"))
+            await wait_until(lambda: client.unprocessed)
+            assert not sidecar.http.clients.evict_one() and not client.closable
+            del client.read_scheduler.begin_read, client.read_scheduler.delay
+            client.continue_reading()
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
+            writer.close()
+
+    run(scenario())
+
+
+def test_an_answer_that_the_sidecar_does_not_read_has_not_stalled(tmp_path, monkeypatch):
+    """Guards against a server that counts as silent while its connection waits for its turn."""
+    monkeypatch.setattr(upstream_connection, "RESPONSE_STALL_TIMEOUT_S", 0.1)
+
+    async def scenario():
+        whole = http_response(200, b"whole")
+
+        async def answer_in_halves(message, reader, writer):
+            writer.write(whole[:20])
+            await asyncio.sleep(0.05)
+            writer.write(whole[20:])
+
+        fake = await FakePeer(answer_in_halves).start()
+        async with sidecar_before(tmp_path, fake.address) as sidecar:
+            request = asyncio.create_task(send_request(sidecar.port, http_request("order", "id")))
+            await wait_until(lambda: any(other.last_read for other in sidecar.upstreams.connections))
+            (connection,) = sidecar.upstreams.connections
+            connection.stream._wait_to_read()
+            await asyncio.sleep(0.6)
+            connection.stream.continue_reading()
+            assert (await request).code == 200
+
+    run(scenario())
+
+
 def test_the_rest_of_an_answered_body_counts_towards_the_limit_of_a_body(tmp_path, monkeypatch):
     """Guards against a body in small chunks that is discarded up to eight times its limit."""
     monkeypatch.setattr(request_reader, "MAX_BODY_BYTES", 200_000)
--- a/tests/test_request_id_sharing.py
+++ b/tests/test_request_id_sharing.py
@@ -513,7 +513,7 @@
     @rule(data=st.data(), key=st.sampled_from("abcd"))
     def end(self, data, key):
         process = data.draw(st.sampled_from(self.processes))
-        open_here = key in process.begun and key not in process.registry.expiry_s
+        open_here = key in process.begun and all(key != ended for _, ended in process.registry.ended)
         if open_here or (FRONTEND, key) in process.sharing.approvals:
             process.end(key)
 
