--- a/benchmarks/overhead.py
+++ b/benchmarks/overhead.py
@@ -65,15 +65,25 @@
 class Build:
     """A process of one build of the sidecar."""
 
-    def __init__(self, directory: Path, node_port: int) -> None:
-        """Start the build in `directory` with a node at `node_port`; raise SystemExit if that fails."""
+    def __init__(self, directory: Path, *node_ports: int, sockets: int | None = None) -> None:
+        """Start the build in `directory`; raise SystemExit if that fails.
+
+        It has `NODE_NAMES` endpoints, which are at `node_ports` in turn; `sockets` limits its descriptors.
+        """
         packages = [path.parent.name for path in directory.glob("*/__main__.py")]
         package = next(name for name in packages if name in ("ochreflow", "dykefold"))
-        entry = {"address": f"{HOST}:{node_port}", "zone": "amman", "type": "gen3", "group": 1}
-        entry.update(status="SERVING", weight=1.0, since_ms=0)
-        endpoints = [{**entry, "name": f"node-{number}"} for number in range(NODE_NAMES)]
+        entry = {"zone": "amman", "type": "gen3", "group": 1, "status": "SERVING", "weight": 1.0}
+        entry["since_ms"] = 0
+        addresses = [f"{HOST}:{node_ports[number % len(node_ports)]}" for number in range(NODE_NAMES)]
+        endpoints = [
+            {**entry, "name": f"node-{number}", "address": address}
+            for number, address in enumerate(addresses)
+        ]
         path = directory / ".bench-config.json"
-        path.write_text(json.dumps(config(f"{HOST}:9", endpoints)))
+        data = config(f"{HOST}:9", endpoints)
+        if sockets is not None:
+            data["limits"]["sockets"] = sockets
+        path.write_text(json.dumps(data))
         self.process = subprocess.Popen(
             [sys.executable, "-m", package],
             cwd=directory,
@@ -100,8 +110,15 @@
 
 
 def config(discovery: str, endpoints: list[dict]) -> dict:
-    """Build the platform configuration of a sidecar with known endpoints and a discovery address."""
-    return platform_config(read_scenario("quiet"), 1, f"{HOST}:0", discovery, endpoints)
+    """Build the platform configuration of a sidecar with known endpoints and a discovery address.
+
+    Requests of the class `exposure` are GETs, those of `assign` are POSTs that must not be repeated.
+    """
+    data = platform_config(read_scenario("quiet"), 1, f"{HOST}:0", discovery, endpoints)
+    for request_class in data["settings"]["classes"]:
+        if request_class["name"] == "exposure":
+            request_class["repeat"] = "pure"
+    return data
 
 
 def request() -> bytes:
