Log data from a server that belongs to no request

Change: the event unrequested_data, with the server, the state of the connection and the time since its last response.

--- a/ochreflow/core/log.py
+++ b/ochreflow/core/log.py
@@ -40,6 +40,7 @@
     "accept_paused": "no file descriptor left ({reason}): {closed} idle connections closed, "
     "accepting paused for {seconds} s",
     "connection_rejected": "connection from {address} rejected: {reason}",
+    "unrequested_data": "server at {host}:{port} sent data that belongs to no request: {state}",
     "event_loop_delayed": "the event loop ran a timer {late_s} s late",
     "balancer_message": "{message}",
     "final_response": "{frontend} request {request} {outcome}: {reason}",
--- a/ochreflow/http/upstream_connection.py
+++ b/ochreflow/http/upstream_connection.py
@@ -10,6 +10,7 @@
 
 from ..core.body import Body
 from ..core.limits import Memory
+from ..core.log import log
 from ..policy.interface import Status
 from .exchange import Exchange
 from .framing import LAST_CHUNK, chunk, frame_body
@@ -22,6 +23,7 @@
 # shorter than that of a relayed response or of a request that a server reads slowly.
 RESPONSE_STALL_TIMEOUT_S = 1.0
 RELAY_STALL_TIMEOUT_S = 2.5
+MS_PER_S = 1000
 # Time after a response within which a second response to the same request may arrive; the connection is
 # settled when it is over. No setting states how late a second response can be; the protocol extends each time
 # limit on sockets by this slack.
@@ -158,6 +160,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received data, and relay or complete the response."""
         if self.exchange is None:
+            self._log_unrequested("no request was open")
             self.close()  # the data could be taken for the response to the next request
             return
         self.response.feed(data)
@@ -257,6 +260,8 @@
         unproven = status is Status.REJECTED and not self.arrived
         self.exchange = None
         self.answered_at = monotonic()
+        if self.response.surplus:
+            self._log_unrequested("the response was complete")
         self.pause_response(paused=False)
         self._release_response()
         if self.response.keep_alive and not self.unwritten and not self.response.surplus and not unproven:
@@ -281,6 +286,12 @@
         """Return the seconds until no second response to the last request can arrive any more."""
         return max(self.answered_at + SETTLING_TIME_S - monotonic(), 0.0)
 
+    def _log_unrequested(self, state: str) -> None:
+        """Log that data came which belongs to no request, and how long after the last response."""
+        host, port = self.target.address
+        after_ms = round((monotonic() - self.answered_at) * MS_PER_S, 1) if self.answered_at > 0.0 else None
+        log.info("unrequested_data", host=host, port=port, state=state, after_ms=after_ms)
+
     def _release_response(self) -> None:
         """Stop the stall timers, and release the memory of the response."""
         if self.read_stall is not None:
