Send no request on a connection within 50 ms of its last response

Cause: responses are matched to requests by their order alone. Unsafe requests waited until a connection was settled, 50 ms after its last response; GETs did not. A GET written before a late second response came got that response, and the connection stayed off by one. Evidence: in a trace of each response, the first foreign one came 6.8 ms after the response before it, to a GET that had just been written, and the six others followed on the same connection. Change: every request needs a settled connection. IdleConnections owns the order and the settling; a waiting request takes whichever comes first, and opens a spare connection if another one waits already or if there were more than four waits a second at its server. No spare one is opened without a descriptor, or within 10 s after the server refused one, and a refused spare connection no longer fails its request. A waiting request is served at once when the late response has closed its connection. Discovery keeps its pool as it was: lists state their index.

--- a/ochreflow/http/discovery_transport.py
+++ b/ochreflow/http/discovery_transport.py
@@ -28,7 +28,8 @@
         """Prepare requests to `address`; connections are opened on demand."""
         self.host = f"{address[0]}:{address[1]}"
         descriptors, memory = Descriptors(MAX_DESCRIPTORS), Memory(MAX_MEMORY_BYTES)
-        self.upstreams = Upstreams(loop, descriptors, memory, CONNECT_TIMEOUT_S, IDLE_TIMEOUT_S)
+        # Each list states its index, so a second copy of an earlier one does no harm.
+        self.upstreams = Upstreams(loop, descriptors, memory, CONNECT_TIMEOUT_S, IDLE_TIMEOUT_S, settle=False)
         self.upstreams.update(SERVICE_ID, address, 0, State.READY)
 
     def get(self, target: str, timeout_s: float, done: Callable[[bytes | None, str], None]) -> None:
--- a/ochreflow/http/exchange.py
+++ b/ochreflow/http/exchange.py
@@ -70,7 +70,6 @@
         "done",
         "generation",
         "head",
-        "idempotent",
         "loop",
         "opening",
         "paused",
@@ -92,8 +91,6 @@
         body: Body | None = None,
         relay: Relay | None = None,
         write_timeout_s: Callable[[], float] | None = None,
-        *,
-        idempotent: bool = True,
     ) -> None:
         """Create an exchange; nothing is sent before `Upstreams.start`."""
         # Called when the request is written, since the head states the remaining time; None after the end.
@@ -104,7 +101,6 @@
         self.body = body  # sent after the head, and may be incomplete
         self.relay = relay  # gets a response too long to be buffered; None: every response is buffered
         self.write_timeout_s = write_timeout_s  # called just before the first byte is written
-        self.idempotent = idempotent  # whether the request's method is idempotent
         self.generation = 0  # generation of the target when the exchange was started
         self.rejected = False  # whether it must not be sent any more, and its end is scheduled
         self.write_timer: asyncio.TimerHandle | None = None  # fires when the request must be acknowledged
--- /dev/null
+++ b/ochreflow/http/idle_connections.py
@@ -0,0 +1,125 @@
+"""Idle connections to one server, and when each may be used again.
+
+Responses are matched to requests only by their order on a connection. A server may send a second response to
+a request some milliseconds after the first one. If the next request were written by then, the second response
+would be taken for its response. A connection is therefore used again only once it is settled: some time after
+its last response, within which a second response would have arrived and closed the connection.
+"""
+
+from __future__ import annotations
+
+import bisect
+import math
+from collections import deque
+from collections.abc import Iterator
+from time import monotonic
+from typing import Generic, Protocol, TypeVar
+
+# No setting states how late a second response can be; the protocol extends each time limit on sockets by this
+# slack.
+SETTLING_TIME_S = 0.05
+# Waits for a settling connection to one server, above which another connection is opened instead.
+WAITS_PER_S = 4.0
+MAX_WAITS_AT_ONCE = 4.0
+
+
+class PooledConnection(Protocol):
+    """A connection, as far as this module knows it; times are monotonic, in seconds."""
+
+    idle_since: float
+    answered_at: float  # when its last response was complete; minus infinity if it has carried none
+
+
+ConnectionT = TypeVar("ConnectionT", bound=PooledConnection)
+
+
+class IdleConnections(Generic[ConnectionT]):
+    """The idle connections to one server: those that are settled, and those that are settling."""
+
+    def __init__(self, *, settle: bool = True) -> None:
+        """Start without connections. Without `settle`, each one is settled at once."""
+        self.settling_time_s = SETTLING_TIME_S if settle else 0.0
+        self._settled: list[ConnectionT] = []  # sorted by `idle_since`, the most recently used last
+        self._settling: deque[ConnectionT] = deque()  # in the order of their last responses
+
+    def __len__(self) -> int:
+        """Return the number of idle connections."""
+        return len(self._settled) + len(self._settling)
+
+    def __contains__(self, connection: object) -> bool:
+        """Return whether a connection is idle."""
+        return connection in self._settled or connection in self._settling
+
+    def __iter__(self) -> Iterator[ConnectionT]:
+        """Iterate over a copy, so that connections may be closed meanwhile; settled ones come first."""
+        return iter([*self._settled, *self._settling])
+
+    def is_settled(self, connection: ConnectionT) -> bool:
+        """Return whether a second response to the connection's last request would have arrived by now."""
+        return connection.answered_at + self.settling_time_s <= monotonic()
+
+    def add(self, connection: ConnectionT) -> None:
+        """Add a connection, which becomes idle now."""
+        connection.idle_since = monotonic()
+        if self.is_settled(connection):
+            self._settled.append(connection)
+        else:
+            self._settling.append(connection)
+
+    def put_back(self, connection: ConnectionT) -> None:
+        """Add a settled connection that was taken and not used, at its place by `idle_since`."""
+        bisect.insort(self._settled, connection, key=lambda idle: idle.idle_since)
+
+    def take_settled(self) -> ConnectionT | None:
+        """Remove and return the settled connection that was used most recently; None if none is settled."""
+        self._update()
+        return self._settled.pop() if self._settled else None
+
+    def take_longest_settled(self) -> ConnectionT | None:
+        """Remove and return the settled connection that has been idle longest; None if none is settled."""
+        self._update()
+        return self._settled.pop(0) if self._settled else None
+
+    def remove(self, connection: ConnectionT) -> None:
+        """Remove a connection, if it is idle."""
+        if connection in self._settled:
+            self._settled.remove(connection)
+        elif connection in self._settling:
+            self._settling.remove(connection)
+
+    def oldest(self) -> ConnectionT | None:
+        """Return the connection that has been idle longest; None if none is idle."""
+        self._update()
+        if self._settled:
+            return self._settled[0]
+        return self._settling[0] if self._settling else None
+
+    def next_settles_in(self) -> float:
+        """Return the seconds until another connection is settled; infinity if none is settling."""
+        if not self._settling:
+            return math.inf
+        return max(self._settling[0].answered_at + self.settling_time_s - monotonic(), 0.0)
+
+    def _update(self) -> None:
+        """Move the connections that have settled."""
+        while self._settling and self.is_settled(self._settling[0]):
+            self.put_back(self._settling.popleft())
+
+
+class WaitAllowance:
+    """A token bucket that limits how often requests to one server wait for a settling connection."""
+
+    def __init__(self) -> None:
+        """Start with all tokens."""
+        self._tokens = MAX_WAITS_AT_ONCE
+        self._updated_at = monotonic()
+
+    def take(self) -> bool:
+        """Take one token; return False if there is none."""
+        now = monotonic()
+        self._tokens = min(self._tokens + (now - self._updated_at) * WAITS_PER_S, MAX_WAITS_AT_ONCE)
+        self._updated_at = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import bisect
 import math
 import socket
 from enum import Enum, auto
@@ -19,6 +18,7 @@
 from .read_scheduler import ReadScheduler
 from .upstream_connection import Connection, Target
 
+REFUSAL_BACKOFF_S = 10.0  # time after a refused connection in which no spare ones are opened to that server
 IDLE_TIMEOUT_SHARE = 0.7  # share of the time after which a server may close an idle connection
 
 
@@ -41,8 +41,14 @@
         connect_timeout: float,
         idle_timeout: float,
         read_scheduler: ReadScheduler | None = None,
+        *,
+        settle: bool = True,
     ) -> None:
-        """Start without servers; times are in seconds. Without a `read_scheduler`, the pool has its own."""
+        """Start without servers; times are in seconds. Without a `read_scheduler`, the pool has its own.
+
+        Without `settle`, idle connections are used again at once: see `IdleConnections`.
+        """
+        self.settle = settle
         self.loop = loop
         self.read_scheduler = read_scheduler or ReadScheduler(loop)
         self.descriptors = descriptors
@@ -58,7 +64,7 @@
         """Apply a server's entry of the endpoint list; a restart or move closes its idle connections."""
         target = self.targets.get(server)
         if target is None:
-            target = self.targets[server] = Target(address, since_ms)
+            target = self.targets[server] = Target(address, since_ms, settle=self.settle)
         elif target.since_ms != since_ms or target.address != address:
             self.close_idle(server)
             target.since_ms, target.address = since_ms, address
@@ -67,7 +73,7 @@
         if not target.accepts_requests:
             self.close_idle(server)
             # Exchanges that still wait for a connection must not be sent to a server that is not ready.
-            for exchange in list(target.opening):
+            for exchange in list(target.waiting):
                 exchange.give_up(Status.CONNECT_FAILED)
 
     def forget(self, server: int) -> None:
@@ -95,66 +101,53 @@
         self._find_connection(target, exchange)
 
     def _find_connection(self, target: Target, exchange: Exchange) -> None:
-        """Send an exchange on an idle connection or on a new one.
-
-        A connection is settled 50 ms after its last response: until then, late bytes of a second response
-        could arrive. An exchange that is not idempotent needs a settled connection or a new one.
-        """
-        while target.idle:
-            connection = self._take_idle(target)
-            if not self._may_carry(connection, exchange):
-                # One exchange waits until a connection is settled; further ones get new connections.
-                if target.settling and not self.descriptors.full:
-                    self._return_idle(connection)
-                    break
-                self._send_when_settled(connection, exchange)
-                return
+        """Send an exchange on a settled connection, or let it wait for the first one that can carry it."""
+        while (connection := target.idle.take_settled()) is not None:
             result = self._try_send(connection, exchange)
             if result is SendResult.REJECTED:
-                self._return_idle(connection)
+                target.idle.put_back(connection)
                 self.loop.call_soon(exchange.end, Status.NOT_SENT)
             if result is not SendResult.DEAD:
                 return
             connection.close()  # dead before anything was written: not counted as an attempt
-        self._open(target, exchange)
-
-    @staticmethod
-    def _take_idle(target: Target) -> Connection:
-        """Remove and return the most recently used settled connection, or else the one idle longest."""
-        if target.idle[-1].settled:
-            return target.idle.pop()
-        settled = bisect.bisect_right(target.idle, 0, key=lambda idle: not idle.settled)
-        return target.idle.pop(max(settled - 1, 0))
-
-    @staticmethod
-    def _return_idle(connection: Connection) -> None:
-        """Put an unused connection back into its place in the list of idle ones."""
-        bisect.insort(connection.target.idle, connection, key=lambda idle: idle.idle_since)
+        if not target.idle:
+            self._open(target, exchange)
+            return
+        others_wait = not all(target.waiting.values())
+        target.waiting.setdefault(exchange, False)
+        self._watch_settling(target)
+        if (others_wait or not target.wait_allowance.take()) and self._may_open_spare(target):
+            self._open(target, exchange)
 
-    @staticmethod
-    def _may_carry(connection: Connection, exchange: Exchange) -> bool:
-        """Return whether a late second response to the previous request cannot come or would do no harm.
+    def _may_open_spare(self, target: Target) -> bool:
+        """Return whether another connection may be opened although one will be settled soon.
 
-        A late rejection that was taken for the response to an unsafe request would cause a retry while a
-        server still runs the request.
+        Spare connections let the pool grow to what the traffic needs. Each costs its server work, and servers
+        accept a limited number of them, which no setting states.
         """
-        return exchange.idempotent or connection.settled
-
-    def _send_when_settled(self, connection: Connection, exchange: Exchange) -> None:
-        """Send an exchange once a connection is settled; a late second response closes that connection."""
-        target = connection.target
-        target.opening[exchange] = None
-        target.settling += 1
-
-        def on_settled() -> None:
-            target.settling -= 1
+        return not self.descriptors.full and monotonic() - target.refused_at >= REFUSAL_BACKOFF_S
+
+    def _watch_settling(self, target: Target) -> None:
+        """Serve the waiting exchanges when the next idle connection is settled."""
+        delay_s = target.idle.next_settles_in()
+        if target.settle_timer is None and delay_s < math.inf:
+            target.settle_timer = self.loop.call_later(delay_s, self._serve_waiting, target)
+
+    def _serve_waiting(self, target: Target) -> None:
+        """Send waiting exchanges on settled connections, or open new ones if none is settling any more."""
+        if target.settle_timer is not None:
+            target.settle_timer.cancel()
+            target.settle_timer = None
+        while target.sendable and (connection := target.idle.take_longest_settled()) is not None:
             self.release(connection)
-            if exchange in target.opening:  # the exchange was not sent on this connection
-                del target.opening[exchange]
-                if not exchange.ended and not exchange.rejected:
-                    self._find_connection(target, exchange)
-
-        self.loop.call_later(connection.settles_in(), on_settled)
+        for exchange, opening in list(target.waiting.items()):
+            if not opening and (exchange.ended or exchange.rejected):
+                del target.waiting[exchange]
+            elif not opening and not target.idle:
+                del target.waiting[exchange]
+                self._open(target, exchange)
+        if target.sendable:
+            self._watch_settling(target)
 
     @staticmethod
     def _try_send(connection: Connection, exchange: Exchange) -> SendResult:
@@ -187,6 +180,8 @@
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         except OSError:  # out of descriptors in spite of the count: make room for the retry that follows soon
+            if exchange in target.waiting:
+                return  # a connection will be settled soon
             if not self.close_oldest():
                 self.descriptors.evict_idle_connection()
             self.loop.call_soon(exchange.end, Status.NOT_SENT)
@@ -195,7 +190,7 @@
         connection = Connection(self, target, sock)
         self.connections.add(connection)
         self.descriptors.in_use += 1
-        target.opening[exchange] = None
+        target.waiting[exchange] = True
         # A task cancelled before its first step would not run at all, and leak the connection.
         self.loop.create_task(self._connect(target, exchange, connection))
 
@@ -203,18 +198,23 @@
         exchange.opening = asyncio.current_task()
         try:
             if exchange.ended:
-                raise ConnectionAbortedError
-            async with asyncio.timeout(self.connect_timeout):
-                await self.loop.sock_connect(connection.stream.sock, target.address)
-            connection.connected()
-        except (OSError, asyncio.CancelledError):
+                connection.close()
+            else:
+                async with asyncio.timeout(self.connect_timeout):
+                    await self.loop.sock_connect(connection.stream.sock, target.address)
+                connection.connected()
+        except OSError:
+            target.refused_at = monotonic()
+            connection.close()
+        except asyncio.CancelledError:
             connection.close()
         exchange.opening = None
-        target.opening.pop(exchange, None)
+        target.waiting.pop(exchange, None)
         self._use(connection, exchange)
 
     def _use(self, connection: Connection, exchange: Exchange) -> None:
         """Use a connection, established or failed, for the exchange that it was opened for."""
+        target = connection.target
         if exchange.ended or exchange.connection is not None:  # it has ended, or uses another connection
             self.release(connection)
             return
@@ -224,7 +224,11 @@
             exchange.end(Status.NOT_SENT)
         elif result is SendResult.DEAD:
             connection.close()
-            exchange.end(Status.CONNECT_FAILED)
+            if target.idle and target.accepts_requests:
+                # The server may have as many connections as it accepts.
+                self._find_connection(target, exchange)
+            else:
+                exchange.end(Status.CONNECT_FAILED)
 
     # The pool
 
@@ -234,50 +238,43 @@
         if connection.closed or not target.accepts_requests or connection.generation != target.generation:
             connection.close()
             return
+        if not target.idle.is_settled(connection):
+            target.idle.add(connection)
+            if target.sendable:
+                self._watch_settling(target)
+            return
         # The connection that is being opened for a waiting exchange becomes idle instead of this one.
-        # An exchange that was just given up stays in `opening` until its task has ended.
-        waiting = [exchange for exchange in target.opening if not exchange.ended]
-        for exchange in waiting:
-            if not self._may_carry(connection, exchange):
-                continue
+        for exchange in target.sendable:
             result = self._try_send(connection, exchange)
             if result is SendResult.REJECTED:
                 self.loop.call_soon(exchange.end, Status.NOT_SENT)
                 continue
             if result is SendResult.STARTED:
-                del target.opening[exchange]
+                del target.waiting[exchange]
             else:
                 connection.close()
             return
-        connection.idle_since = monotonic()
-        target.idle.append(connection)
-        if waiting:
-            self.loop.call_later(connection.settles_in(), self._reuse_settled, connection)
-
-    def _reuse_settled(self, connection: Connection) -> None:
-        """Use a connection, settled by now, for a waiting exchange if the connection is still idle."""
-        target = connection.target
-        if connection in target.idle and target.opening:
-            target.idle.remove(connection)
-            self.release(connection)
+        target.idle.add(connection)
 
     def remove(self, connection: Connection) -> None:
         """Remove a connection that is closing from the pool and from the count of descriptors."""
         self.connections.discard(connection)
         self.descriptors.in_use -= 1
-        if connection in connection.target.idle:
-            connection.target.idle.remove(connection)
+        target = connection.target
+        target.idle.remove(connection)
+        if target.waiting and not target.idle:
+            self.loop.call_soon(self._serve_waiting, target)
 
     def close_idle(self, server: int) -> None:
         """Close the idle connections to a server."""
         target = self.targets.get(server)
         if target is not None:
-            for connection in list(target.idle):
+            for connection in target.idle:
                 connection.close()
 
     def close_oldest(self) -> bool:
         """Close the connection that has been idle longest; return False if none is idle."""
-        oldest = [target.idle[0] for target in self.targets.values() if target.idle]
+        oldest = [idle for target in self.targets.values() if (idle := target.idle.oldest()) is not None]
         if not oldest:
             return False
         min(oldest, key=lambda connection: connection.idle_since).close()
@@ -287,13 +284,13 @@
         """Close idle connections well before their servers do: a request could cross the server's close."""
         before = monotonic() - self.idle_timeout
         for target in self.targets.values():
-            while target.idle and target.idle[0].idle_since < before:
-                target.idle[0].close()
+            while (oldest := target.idle.oldest()) is not None and oldest.idle_since < before:
+                oldest.close()
 
     def close(self) -> None:
         """Close all connections."""
         for target in self.targets.values():
-            for exchange in list(target.opening):
+            for exchange in list(target.waiting):
                 exchange.give_up(Status.CONNECT_FAILED)
         for connection in list(self.connections):
             connection.close()
--- a/ochreflow/http/upstream_connection.py
+++ b/ochreflow/http/upstream_connection.py
@@ -14,6 +14,7 @@
 from ..policy.interface import Status
 from .exchange import Exchange
 from .framing import LAST_CHUNK, chunk, frame_body
+from .idle_connections import IdleConnections, WaitAllowance
 from .read_scheduler import ReadScheduler
 from .response import ResponseParser, classify
 from .socket_progress import StallTimer
@@ -24,10 +25,6 @@
 RESPONSE_STALL_TIMEOUT_S = 1.0
 RELAY_STALL_TIMEOUT_S = 2.5
 MS_PER_S = 1000
-# Time after a response within which a second response to the same request may arrive; the connection is
-# settled when it is over. No setting states how late a second response can be; the protocol extends each time
-# limit on sockets by this slack.
-SETTLING_TIME_S = 0.05
 
 
 class ConnectionPool(Protocol):
@@ -38,7 +35,7 @@
     read_scheduler: ReadScheduler
 
     def release(self, connection: Connection) -> None:
-        """Return a connection to the pool, so that another exchange can use it."""
+        """Return a connection to the pool, so that another exchange can use it once it is settled."""
         ...
 
     def remove(self, connection: Connection) -> None:
@@ -47,17 +44,25 @@
 
 
 class Target:
-    """A server's address and the idle connections to it."""
+    """A server's address, the idle connections to it, and the exchanges that wait for a connection."""
 
-    def __init__(self, address: tuple[str, int], since_ms: int) -> None:
-        """Describe a server at `address` that started at `since_ms`."""
+    def __init__(self, address: tuple[str, int], since_ms: int, *, settle: bool = True) -> None:
+        """Describe a server at `address` that started at `since_ms`; `settle` as in `IdleConnections`."""
         self.address = address
         self.since_ms = since_ms
         self.generation = 0  # incremented by a restart or move; earlier connections are not reused
         self.accepts_requests = True
-        self.idle: list[Connection] = []  # sorted by `idle_since`, the most recently used last
-        self.opening: dict[Exchange, None] = {}  # exchanges that wait for a connection, in order of arrival
-        self.settling = 0  # number of exchanges in `opening` that wait until an idle connection is settled
+        self.idle: IdleConnections[Connection] = IdleConnections(settle=settle)
+        # Exchanges that wait, in order of arrival, and whether a connection is being opened for each.
+        self.waiting: dict[Exchange, bool] = {}
+        self.wait_allowance = WaitAllowance()
+        self.settle_timer: asyncio.TimerHandle | None = None  # fires when another idle connection is settled
+        self.refused_at = -math.inf  # when it last refused a new connection, or the first request on one
+
+    @property
+    def sendable(self) -> list[Exchange]:
+        """The waiting exchanges that may still be sent."""
+        return [exchange for exchange in self.waiting if not exchange.ended and not exchange.rejected]
 
 
 class Connection:
@@ -213,6 +218,8 @@
     def connection_broken(self) -> None:
         """Close the connection, and end its exchange, if any, without a complete response."""
         exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            self._note_refusal()
         never_ran = self.unwritten
         self.close()
         if exchange is not None:
@@ -255,6 +262,8 @@
         exchange, response = self.exchange, self.response.complete
         assert exchange is not None and response is not None
         status = classify(response)
+        if status is Status.REJECTED:
+            self._note_refusal()
         # A rejection proves nothing while part of the request is in flight: it cannot be the response to the
         # whole request, whose rest may arrive after the connection is closed.
         unproven = status is Status.REJECTED and not self.arrived
@@ -273,18 +282,10 @@
         else:
             exchange.end(status, response)
 
-    @property
-    def settled(self) -> bool:
-        """Whether a second response to the last request would have arrived by now.
-
-        Responses are matched to requests only by their order: a late second response would be taken for the
-        response to the next request.
-        """
-        return self.settles_in() == 0.0
-
-    def settles_in(self) -> float:
-        """Return the seconds until no second response to the last request can arrive any more."""
-        return max(self.answered_at + SETTLING_TIME_S - monotonic(), 0.0)
+    def _note_refusal(self) -> None:
+        """Record that the first request on a new connection failed: the server may accept no more of them."""
+        if self.answered_at == -math.inf:
+            self.target.refused_at = monotonic()
 
     def _log_unrequested(self, state: str) -> None:
         """Log that data came which belongs to no request, and how long after the last response."""
--- a/ochreflow/http/upstream_transport.py
+++ b/ochreflow/http/upstream_transport.py
@@ -57,7 +57,6 @@
             body,
             observer,
             observer.write_timeout_s,
-            idempotent=not request.is_write,
         )
         self.upstreams.start(server, exchange, timeout)
         return exchange
