Take no 200 for the response to a request that its server has not received

What callers saw: a POST whose body was under way, or lay unacknowledged in the send buffer, was answered 200 with another request's body, if a late second response came on its connection, however late. Cause: data on a connection with an exchange counted as its response, whatever of the request had arrived. Only rejections were held against the acknowledgement of the request. Change: a 200 that is complete, or about to be relayed, while the server's host has not acknowledged the whole request closes the connection: the attempt never ran if part of it was never handed to the kernel, else it may have run. PROTOCOL: a server begins a request once its last byte has come; TCP acknowledges a request with the data that answers it at the latest, so this is exact.

--- a/ochreflow/http/response.py
+++ b/ochreflow/http/response.py
@@ -123,6 +123,13 @@
         self._complete()
         return True
 
+    @property
+    def succeeding(self) -> bool:
+        """Whether a successful response is complete, or about to be relayed."""
+        if self.complete is not None:
+            return self.complete.code == OK
+        return not self.relaying and self.needs_relay()
+
     def needs_relay(self) -> bool:
         """Return whether the response is successful, and too long to buffer or without a stated length."""
         if not self._may_relay or not self._in_body or not self._body:
--- a/ochreflow/http/upstream_connection.py
+++ b/ochreflow/http/upstream_connection.py
@@ -169,7 +169,7 @@
             self.close()  # the data could be taken for the response to the next request
             return
         self.response.feed(data)
-        if self.response.invalid:
+        if self.response.invalid or self._responds_to_earlier_request():
             self.connection_broken()
         elif not self._relay():
             self.exchange.give_up(Status.CANCELLED)
@@ -180,6 +180,13 @@
             if self.read_stall is None:
                 self._watch_for_stall()
 
+    def _responds_to_earlier_request(self) -> bool:
+        """Return whether a successful response came before the server's host had received the request."""
+        if not self.response.succeeding or self.arrived:
+            return False
+        self._log_unrequested("the request had not arrived yet")
+        return True
+
     def _watch_for_stall(self) -> None:
         """Give up a response that stalls; otherwise the exchange would wait until its deadline."""
         timeout_s = RELAY_STALL_TIMEOUT_S if self.response.relaying else RESPONSE_STALL_TIMEOUT_S
@@ -210,7 +217,7 @@
 
     def eof_received(self) -> None:
         """Complete a response that only the end of the stream delimits, or treat the end as an error."""
-        if self.exchange is not None and self.response.end():
+        if self.exchange is not None and self.response.end() and not self._responds_to_earlier_request():
             self._finish()  # a process that dies resets its connections, so this is an orderly end
         else:
             self.connection_broken()
--- a/tests/test_unrequested_data.py
+++ b/tests/test_unrequested_data.py
@@ -13,6 +13,7 @@
 import pytest
 from net_helpers import (
     HOST,
+    WAIT_TIMEOUT_S,
     Sidecar,
     config,
     endpoint_update,
@@ -249,6 +250,57 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_a_copy_later_than_the_settling_time_is_no_response_to_a_request_whose_body_is_under_way(
+    tmp_path, framing
+):
+    async def scenario():
+        server = Server(send_extra=asyncio.Event())
+        async with sidecar_with(server, tmp_path) as sidecar:
+            check_own_response(await send_request(sidecar.port, http_request("lookup", "first")), "first")
+            await asyncio.sleep(SETTLING_TIME_S)
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            head = http_request("order", "second", "2000m")
+            if framing == "length":
+                writer.write(head.replace(b"Content-Length: 0", b"Content-Length: 200000") + b"x" * 100_000)
+            else:
+                chunk = b"%x\r\n%s\r\n" % (100_000, b"x" * 100_000)
+                writer.write(head.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + chunk)
+            await wait_until(lambda: any(c.uploading for c in sidecar.upstreams.connections))
+            server.send_extra.set()
+            async with asyncio.timeout(WAIT_TIMEOUT_S):
+                response = await read_message(reader)
+            assert response.code != 200 and response.body != body_of("first")
+            writer.close()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("class_name", ["hold", "order"])
+@pytest.mark.parametrize("kind", ["200 with length", "200 in chunks"])
+def test_a_copy_is_no_response_to_a_request_that_its_server_has_not_received(tmp_path, kind, class_name):
+    """The whole request is written, and part of it is on its way: also later than the settling time."""
+
+    async def scenario():
+        server = Server(send_extra=asyncio.Event(), receive_buffer=SMALL_BUFFER_BYTES, stalls=True)
+        server.extra = lambda _: FIRST_RESPONSES[kind](body_of("first"))
+        async with sidecar_with(server, tmp_path) as sidecar:
+            check_own_response(await send_request(sidecar.port, http_request("lookup", "first")), "first")
+            await asyncio.sleep(SETTLING_TIME_S)
+            (connection,) = sidecar.upstreams.connections
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(http_request(class_name, "second", "2000m", LARGE_BODY))
+            await wait_until(lambda: connection.exchange is not None)
+            assert not connection.arrived
+            server.send_extra.set()
+            async with asyncio.timeout(WAIT_TIMEOUT_S):
+                response = await read_message(reader)
+            assert response.body != body_of("first")
+            writer.close()
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("late", ["5 ms", "40 ms"])
 @pytest.mark.parametrize("class_name", CLASSES)
 def test_a_request_waits_for_the_connection_to_settle_if_no_descriptor_is_left(tmp_path, class_name, late):
