Open no spare connection for waits that follow each other

Cause: one request at a time waits for a settled connection. The price is paid by clients whose requests follow each other at once: they wait up to 50 ms for each, as unsafe requests did before.

--- a/ochreflow/http/idle_connections.py
+++ b/ochreflow/http/idle_connections.py
@@ -18,9 +18,6 @@
 # No setting states how late a second response can be; the protocol extends each time limit on sockets by this
 # slack.
 SETTLING_TIME_S = 0.05
-# Waits for a settling connection to one server, above which another connection is opened instead.
-WAITS_PER_S = 4.0
-MAX_WAITS_AT_ONCE = 4.0
 
 
 class PooledConnection(Protocol):
@@ -104,22 +101,3 @@
         """Move the connections that have settled."""
         while self._settling and self.is_settled(self._settling[0]):
             self.put_back(self._settling.popleft())
-
-
-class WaitAllowance:
-    """A token bucket that limits how often requests to one server wait for a settling connection."""
-
-    def __init__(self) -> None:
-        """Start with all tokens."""
-        self._tokens = MAX_WAITS_AT_ONCE
-        self._updated_at = monotonic()
-
-    def take(self) -> bool:
-        """Take one token; return False if there is none."""
-        now = monotonic()
-        self._tokens = min(self._tokens + (now - self._updated_at) * WAITS_PER_S, MAX_WAITS_AT_ONCE)
-        self._updated_at = now
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -116,14 +116,15 @@
         others_wait = not all(target.waiting.values())
         target.waiting.setdefault(exchange, False)
         self._watch_settling(target)
-        if (others_wait or not target.wait_allowance.take()) and self._may_open_spare(target):
+        if others_wait and self._may_open_spare(target):
             self._open(target, exchange)
 
     def _may_open_spare(self, target: Target) -> bool:
         """Return whether another connection may be opened although one will be settled soon.
 
-        Spare connections let the pool grow to what the traffic needs. Each costs its server work, and servers
-        accept a limited number of them, which no setting states.
+        One exchange at a time waits for a connection to settle; spare connections for further ones let the
+        pool grow to what the traffic needs. Each costs its server work, and servers accept a limited number
+        of them, which no setting states.
         """
         return not self.descriptors.full and monotonic() - target.refused_at >= REFUSAL_BACKOFF_S
 
--- a/ochreflow/http/upstream_connection.py
+++ b/ochreflow/http/upstream_connection.py
@@ -14,7 +14,7 @@
 from ..policy.interface import Status
 from .exchange import Exchange
 from .framing import LAST_CHUNK, chunk, frame_body
-from .idle_connections import IdleConnections, WaitAllowance
+from .idle_connections import IdleConnections
 from .read_scheduler import ReadScheduler
 from .response import ResponseParser, classify
 from .socket_progress import StallTimer
@@ -55,7 +55,6 @@
         self.idle: IdleConnections[Connection] = IdleConnections(settle=settle)
         # Exchanges that wait, in order of arrival, and whether a connection is being opened for each.
         self.waiting: dict[Exchange, bool] = {}
-        self.wait_allowance = WaitAllowance()
         self.settle_timer: asyncio.TimerHandle | None = None  # fires when another idle connection is settled
         self.refused_at = -math.inf  # when it last refused a new connection, or the first request on one
 
