Send second responses in the soak, and look whose answer a client got

Cause: the soak compared bodies that did not name their request, and no server sent anything beyond its response. Change: bodies name their request, and a copy follows one response in ten, 2 to 8 ms later, as if it had crossed the next request.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -4,7 +4,8 @@
 comes in series, whether idle clients crowd the descriptors. At the end SIGTERM is sent, clients go on using
 their open connections, and SIGKILL follows at the earliest time that the protocol allows. The checks are
 those of the protocol: each request gets one final answer in time, none that may not be repeated is, no new
-work goes to a draining server after its grace, and the process neither crashes nor logs an internal error.
+work goes to a draining server after its grace, and the process neither crashes nor logs an internal error. A
+copy follows some responses: no client gets it as the response to its request.
 
     PYTHONPATH=.:tests python tests/soak.py --first 1000 --seeds 60 --jobs 6
 """
@@ -28,7 +29,6 @@
     HOST,
     MS,
     FakePeer,
-    answer_ok,
     config,
     endpoint_update,
     entry,
@@ -57,6 +57,9 @@
 # How a call to discovery fails; at most two calls in a row fail, and only one of them slowly.
 CALL_FAILURES = ("503", "reset", "late 503")
 LATE_S = 2.0
+SECOND_RESPONSE_SHARE = 0.1  # of the responses, a copy follows
+SECOND_RESPONSE_AFTER_S = (0.002, 0.008)
+MAX_SECOND_RESPONSE_AFTER_S = 0.03  # not sent later, when this program is too slow
 
 
 @dataclass
@@ -121,7 +124,22 @@
         elif behaviour == "error":
             writer.write(http_response(500, b""))
         else:
-            await answer_ok(message, reader, writer)
+            response = http_response(200, served_body(message.headers["x-request-id"], message.body))
+            writer.write(response)
+            if run.copy_rng.random() < SECOND_RESPONSE_SHARE:
+                run.loop.create_task(self.send_copy(writer, response))
+
+    async def send_copy(self, writer, response):
+        """Send a second response, as if it had crossed any request that has come meanwhile."""
+        answered_at = self.run.loop.time()
+        await asyncio.sleep(self.run.copy_rng.uniform(*SECOND_RESPONSE_AFTER_S))
+        if self.run.loop.time() - answered_at < MAX_SECOND_RESPONSE_AFTER_S and not writer.is_closing():
+            writer.write(response)
+            self.run.record.results["copies"] += 1
+
+
+def served_body(request_id, body):
+    return f"served {request_id} ".encode() + body
 
 
 class Discovery:
@@ -169,6 +187,7 @@
 
     def __init__(self, seed):
         self.seed, self.rng = seed, random.Random(seed)
+        self.copy_rng = random.Random(seed)
         self.loop = asyncio.get_running_loop()
         self.record = Record()
         self.deadline_s = self.rng.choice((0.3, 1.0, 3.0))
@@ -331,7 +350,7 @@
             self.lost(request_id, "no answer", sent_at)
             return False
         self.record.results[class_name, response.code] += 1
-        if response.code == 200 and response.body != b"served " + body:
+        if response.code == 200 and response.body != served_body(request_id, body):
             self.record.violations.append(f"{request_id}: another request's answer")
         return response.headers.get("connection") != "close"
 
