--- a/benchmarks/connections.py
+++ b/benchmarks/connections.py
@@ -128,6 +128,7 @@
         self.chance = random.Random(seed)
         self.added_s: list[float] = []
         self.failed = 0
+        self.closed = 0  # requests whose connection was closed
         self.idle: list[ClientConnection] = []
 
     async def send(self) -> None:
@@ -143,7 +144,11 @@
             _, client = await loop.create_connection(ClientConnection, HOST, self.port)
         response: asyncio.Future[tuple[int, bytes]] = loop.create_future()
         client.send(data, response)
-        code, _ = await response
+        try:
+            code, _ = await response
+        except ConnectionError:
+            self.closed += 1
+            return
         if code == HTTPStatus.OK:
             self.added_s.append(perf_counter() - began - work_s)
         else:
@@ -189,6 +194,7 @@
     return {
         "per_second": round(answered / seconds, 1),
         "failed": clients.failed,
+        "closed": clients.closed,
         "added_p50_ms": round(percentile(clients.added_s, 0.5) * MS_PER_S, 2),
         "added_p99_ms": round(percentile(clients.added_s, 0.99) * MS_PER_S, 2),
         "connections_of_one_server": for_one_server,
