--- a/tests/test_second_response.py
+++ b/tests/test_second_response.py
@@ -143,6 +143,79 @@
     run(scenario())
 
 
+def test_a_request_whose_settling_connection_closes_is_sent_on_another_one_at_once(settling_time):
+    settling_time(ENDLESS_SETTLING_TIME_S)
+
+    async def scenario():
+        setup = PoolWithServer()
+        server = await setup.answered_connection()
+        _, end = setup.start()
+        server.sendall(http_response(200, b"another's"))
+        other = await setup.accept()
+        await setup.read(other)
+        other.sendall(REAL_RESPONSE)
+        assert await end == SERVED
+        setup.close()
+
+    run(scenario())
+
+
+def test_no_spare_connection_is_opened_for_a_while_after_one_was_refused(settling_time):
+    settling_time(LONG_SETTLING_TIME_S)
+
+    async def scenario():
+        setup = PoolWithServer()
+        server = await setup.answered_connection()
+        setup.pool.targets[1].refused_at = monotonic()
+        ends = [setup.start()[1] for _ in range(2)]
+        await asyncio.sleep(LONG_SETTLING_TIME_S / 2)
+        assert len(setup.pool.connections) == 1
+        await setup.read(server)
+        server.sendall(REAL_RESPONSE)
+        assert await ends[0] == SERVED
+        other = await setup.accept()  # no connection is settling any more
+        await setup.read(other)
+        other.sendall(REAL_RESPONSE)
+        assert await ends[1] == SERVED
+        setup.close()
+
+    run(scenario())
+
+
+def test_a_refused_spare_connection_fails_no_request(settling_time):
+    settling_time(LONG_SETTLING_TIME_S)
+
+    async def scenario():
+        setup = PoolWithServer()
+        servers = await setup.answered_connections(2)
+        setup.listener.close()
+        ends = [setup.start()[1] for _ in range(2)]
+        for server in servers:
+            await setup.read(server)
+            server.sendall(REAL_RESPONSE)
+        assert [await end for end in ends] == [SERVED] * 2
+        setup.close()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("refusal", [REJECTION, b""], ids=["503", "reset"])
+def test_a_server_that_fails_the_first_request_on_a_connection_counts_as_refusing(refusal):
+    async def scenario():
+        setup = PoolWithServer()
+        _, end = setup.start()
+        server = await setup.accept()
+        await setup.read(server)
+        server.sendall(refusal)
+        if not refusal:
+            server.close()
+        assert (await end)[0] in (Status.REJECTED, Status.RESET)
+        assert monotonic() - setup.pool.targets[1].refused_at < WAIT_TIMEOUT_S
+        setup.close()
+
+    run(scenario())
+
+
 def test_a_request_reuses_the_connection_after_the_settling_time(settling_time):
     settling_time(0.05)
 
