--- a/benchmarks/connections.py
+++ b/benchmarks/connections.py
@@ -57,6 +57,7 @@
     Load("one client, 1 ms", (0.001, 0.001), clients=1),
     Load("saturated: 32 clients, no work", (0.0, 0.0), clients=32),
     Load("saturated, 128 descriptors", (0.0, 0.0), clients=32, sockets=128),
+    Load("busy, 128 descriptors", (0.005, 0.015), rate=320.0, sockets=128),
     Load("busy, servers accept 8 connections", (0.005, 0.015), rate=320.0, server_connections=8),
 )
 
