Measure an attempt's duration from its first byte

An attempt's duration began with the decision, so the wait for a settled connection, up to 50 ms where servers answer in one, counted as latency, and the limit on what is in flight fell. An attempt that never began keeps the start of the decision.

--- a/ochreflow/core/attempt_manager.py
+++ b/ochreflow/core/attempt_manager.py
@@ -70,6 +70,7 @@
         "first_byte_permitted",
         "fully_written",
         "manager",
+        "measured_from_ns",
         "number",
         "pending",
         "response_started_ns",
@@ -88,6 +89,9 @@
         self.number = pending.attempts
         self.server = server
         self.sent_ns = sent_ns  # start of the attempt; after an upload, when its last byte was written
+        # Start of the duration that the balancer gets: the write of the first byte, once it is permitted. A
+        # wait for a connection says nothing of how fast a server is.
+        self.measured_from_ns = sent_ns
         self.timeout_ns = timeout_ns  # time limit from its start; 0: the remaining time of its request
         self.response_started_ns = 0  # when its response began to be streamed to the client
         self.upstream_attempt: UpstreamAttempt | None = None  # None: still being started, or failed to start
@@ -109,7 +113,9 @@
     def write_timeout_s(self) -> float:
         """See `AttemptObserver.write_timeout_s`."""
         timeout_s = 0.0 if self.has_ended else self.manager.write_timeout_s(self)
-        self.first_byte_permitted = self.first_byte_permitted or timeout_s > 0.0
+        if timeout_s > 0.0 and not self.first_byte_permitted:
+            self.first_byte_permitted = True
+            self.measured_from_ns = self.manager.clock.now()
         return timeout_s
 
     def remaining_time_ns(self) -> int:
@@ -236,7 +242,7 @@
         """Restart the time of an attempt whose body was being received: its last byte has been written."""
         pending = attempt.pending
         pending.uploading = False
-        attempt.sent_ns = self.clock.now()
+        attempt.sent_ns = attempt.measured_from_ns = self.clock.now()
         self.dispatcher.dispatch(api.BodyUploaded(pending.id, pending.request.deadline_ns))
 
     def set_timeouts(self, pending: PendingRequest) -> None:
@@ -260,7 +266,7 @@
         attempt.upstream_attempt.clear_timeout()
         attempt.response_started_ns = self.clock.now()
         pending.response_sink.begin(pending.request, head, length, attempt.upstream_attempt.pause)
-        duration_ns = attempt.response_started_ns - attempt.sent_ns
+        duration_ns = attempt.response_started_ns - attempt.measured_from_ns
         self.dispatcher.dispatch(api.StreamStarted(pending.id, attempt.number, attempt.server, duration_ns))
         return True
 
@@ -280,7 +286,7 @@
             self.response_path.finish(pending, FinalResponse(Disposition.SUCCEEDED, Reason.ANSWERED, answer))
         if pending.streaming is attempt and pending.unanswered:
             self.response_path.end_response(pending, complete=status is Status.OK)
-        duration_ns = (attempt.response_started_ns or self.clock.now()) - attempt.sent_ns
+        duration_ns = (attempt.response_started_ns or self.clock.now()) - attempt.measured_from_ns
         final = not pending.unanswered
         self.dispatcher.dispatch(
             api.Outcome(pending.id, attempt.number, attempt.server, status, duration_ns, final, report)
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -512,3 +512,32 @@
                 assert announced_timeout_ms(server.received[0]) == 3000 and server.received[0].body == body
 
     run(scenario())
+
+
+def test_the_duration_of_an_attempt_does_not_include_its_wait_for_a_connection(tmp_path):
+    """Guards against a limit on requests in flight that falls, and rejects, while connections settle."""
+
+    async def scenario():
+        server = await FakePeer(answer_ok).start()
+        harness = SidecarHarness(tmp_path, [entry("s0", server.address)])
+        outcomes = []
+        dispatch = harness.engine.dispatcher.dispatch
+
+        def record(event):
+            outcomes.extend([event] if isinstance(event, Outcome) else [])
+            dispatch(event)
+
+        harness.engine.dispatcher.dispatch = record
+        harness.block_connects()
+        async with (
+            harness.sidecar as sidecar,
+            open_client(sidecar, http_request("lookup", deadline="4000m")) as (reader, _),
+        ):
+            await harness.connect_blocked()
+            harness.advance_clock(1000 * MS)
+            harness.loop.connect_allowed.set()
+            assert (await read_message(reader)).code == 200
+        (outcome,) = outcomes
+        assert outcome.status is Status.OK and 0 < outcome.duration_ns < 1000 * MS
+
+    run(scenario())
