Count no attempt as in flight while it waits for a connection

The first of the five waited up to 50 ms for its connection to settle and counted as in flight meanwhile, so the fifth found 4 of 4. Change: the transport reports such a wait, and the balancer counts the attempt neither against the limit nor as overdue (which counted as a failure of its server) until its first byte may be written.

--- a/ochreflow/core/attempt_manager.py
+++ b/ochreflow/core/attempt_manager.py
@@ -122,6 +122,10 @@
         """See `AttemptObserver.remaining_time_ns`."""
         return self.manager.remaining_time_ns(self)
 
+    def begin_wait(self) -> None:
+        """See `AttemptObserver.begin_wait`."""
+        self.manager.begin_wait(self)
+
     def written(self) -> None:
         """See `AttemptObserver.written`."""
         self.fully_written = True
@@ -238,6 +242,14 @@
             return 0.0
         return math.inf if end_ns >= NO_END else max(end_ns - now, 0) / NS_PER_S
 
+    def begin_wait(self, attempt: Attempt) -> None:
+        """Notify the balancer that an attempt waits for a connection: see `AttemptObserver.begin_wait`."""
+        try:
+            self.balancer.begin_wait(self.clock.now(), attempt.pending.id, attempt.number)
+        except Exception:
+            # The fault must not affect the event that is being handled.
+            self.fault_log.log("balancer failed to record a wait: the attempt counts as in flight")
+
     def body_uploaded(self, attempt: Attempt) -> None:
         """Restart the time of an attempt whose body was being received: its last byte has been written."""
         pending = attempt.pending
--- a/ochreflow/core/ports.py
+++ b/ochreflow/core/ports.py
@@ -113,6 +113,10 @@
         """Return the time left to the server, in ns as of this call; it is sent in the request's head."""
         ...
 
+    def begin_wait(self) -> None:
+        """Record that the attempt waits for a connection in use to be free, until `write_timeout_s`."""
+        ...
+
     def written(self) -> None:
         """Record that the last byte has been written: from now on the request may have run."""
         ...
--- a/ochreflow/http/exchange.py
+++ b/ochreflow/http/exchange.py
@@ -65,6 +65,7 @@
     """One request to one server, and its response."""
 
     __slots__ = (
+        "begin_wait",
         "body",
         "connection",
         "done",
@@ -91,6 +92,7 @@
         body: Body | None = None,
         relay: Relay | None = None,
         write_timeout_s: Callable[[], float] | None = None,
+        begin_wait: Callable[[], None] | None = None,
     ) -> None:
         """Create an exchange; nothing is sent before `Upstreams.start`."""
         # Called when the request is written, since the head states the remaining time; None after the end.
@@ -101,6 +103,7 @@
         self.body = body  # sent after the head, and may be incomplete
         self.relay = relay  # gets a response too long to be buffered; None: every response is buffered
         self.write_timeout_s = write_timeout_s  # called just before the first byte is written
+        self.begin_wait = begin_wait  # called if the exchange waits until a connection in use is free
         self.generation = 0  # generation of the target when the exchange was started
         self.rejected = False  # whether it must not be sent any more, and its end is scheduled
         self.write_timer: asyncio.TimerHandle | None = None  # fires when the request must be acknowledged
@@ -135,7 +138,7 @@
             self.write_timer.cancel()
             self.write_timer = None
         # These refer back to the exchange, a cycle that only the garbage collector would free.
-        self.head = self.written = self.relay = self.write_timeout_s = None
+        self.head = self.written = self.relay = self.write_timeout_s = self.begin_wait = None
         done(self, status, response)
 
     def set_timeout(self, seconds: float) -> None:
--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -118,6 +118,8 @@
         self._watch_settling(target)
         if others_wait and self._may_open_spare(target):
             self._open(target, exchange)
+        elif exchange.begin_wait is not None:
+            exchange.begin_wait()
 
     def _may_open_spare(self, target: Target) -> bool:
         """Return whether another connection may be opened although one will be settled soon.
--- a/ochreflow/http/upstream_transport.py
+++ b/ochreflow/http/upstream_transport.py
@@ -57,6 +57,7 @@
             body,
             observer,
             observer.write_timeout_s,
+            observer.begin_wait,
         )
         self.upstreams.start(server, exchange, timeout)
         return exchange
--- a/ochreflow/policy/balancer.py
+++ b/ochreflow/policy/balancer.py
@@ -126,7 +126,21 @@
         server = request.attempts[number].server
         # An update of the list may have moved the server to another zone or cell since the decision.
         request.attempts[number] = request.attempts[number]._replace(zone=server.zone, cell=server.cell)
-        return self.safety_rules.write_by(request, server, number)
+        end_ns = self.safety_rules.write_by(request, server, number)
+        if end_ns > now_ns and (request_id, number) in server.waiting:
+            request.attempts[number] = request.attempts[number]._replace(sent_at=now_ns)
+            self.endpoints.end_wait(server, (request_id, number))
+        return end_ns
+
+    def begin_wait(self, now_ns: int, request_id: int, number: int) -> None:
+        """Record that an attempt waits for a connection in use to be free; `write_by` ends the wait.
+
+        Meanwhile it does not count against the limit on requests in flight: its server has no work with it.
+        """
+        self.context.now = now_ns
+        request = self.pending.get(request_id)
+        if request is not None:
+            self.endpoints.begin_wait(request.attempts[number].server, (request_id, number))
 
     def _on_request(self, event: Request) -> None:
         spec = self.context.settings.classes[event.class_index]
@@ -313,6 +327,10 @@
         if attempt.state is not IN_FLIGHT:
             return
         server, sent_at = attempt.server, attempt.sent_at
+        recheck_at = 2 * self.context.now - sent_at
+        if (request.id, number) in server.waiting:  # the wait says nothing of its server
+            self.context.schedule(timer._replace(due_ns=recheck_at))
+            return
         silent = server.last_alive_at <= sent_at
         if timer.rechecks:
             if not silent:
@@ -325,7 +343,6 @@
             self.outlier_detector.record_failure(server, OVERDUE_FAILURE_WEIGHT, MAX_EJECTED_SHARE_ON_SILENCE)
         if server.ejected:
             self._retry_elsewhere(request, number)
-        recheck_at = 2 * self.context.now - sent_at
         if recheck_at < request.deadline:
             self.context.schedule(ScheduledTimer(recheck_at, OVERDUE, request.id, 1, number))
 
--- a/ochreflow/policy/endpoint_set.py
+++ b/ochreflow/policy/endpoint_set.py
@@ -6,7 +6,7 @@
 
 from .interface import ListKind, Membership, State, Watch
 from .poll_schedule import PollSchedule
-from .state_records import SECOND, Context, Server
+from .state_records import SECOND, AttemptKey, Context, Server
 
 MIN_SUBSET_SIZE = 2  # least number of local servers, and of remote ones: power of two choices needs two
 # A subset holds as many servers as the sidecar has requests in this time, as a multiple of the shortest
@@ -26,7 +26,8 @@
         self.local: list[Server] = []
         self.remote: list[Server] = []
         self.ejected: list[Server] = []
-        self.inflight = 0  # this sidecar's attempts in flight, except at ejected servers
+        # This sidecar's attempts in flight, except at ejected servers and those that wait for a connection.
+        self.inflight = 0
         self.outside_subset: list[Server] = []  # ready servers that are not sampled from
         self.low_traffic = True
         self.ready_count = self.subset_size = 0
@@ -90,6 +91,18 @@
         if size != self.subset_size and min(size, self.subset_size) < self.ready_count:
             self.rebuild()
 
+    def begin_wait(self, server: Server, attempt: AttemptKey) -> None:
+        """Stop counting an attempt as in flight while it waits for a connection."""
+        if attempt in server.in_flight and attempt not in server.presumed_lost | server.waiting:
+            self.inflight -= not server.ejected
+            server.waiting.add(attempt)
+
+    def end_wait(self, server: Server, attempt: AttemptKey) -> None:
+        """Count an attempt as in flight again: its wait for a connection is over."""
+        if attempt in server.waiting:
+            server.waiting.discard(attempt)
+            self.inflight += not server.ejected
+
     def apply(self, event: Membership) -> float:
         """Apply an endpoint update; return the share of the sampled servers that remains, at most 1."""
         if event.kind is ListKind.FAILED or event.kind is ListKind.RELOCATED:
--- a/ochreflow/policy/outcome_recorder.py
+++ b/ochreflow/policy/outcome_recorder.py
@@ -43,9 +43,10 @@
         attempt = (event.id, event.attempt)
         if server and attempt in server.in_flight:
             since_ns, class_index = server.in_flight.pop(attempt)
-            presumed_lost = attempt in server.presumed_lost
+            presumed_lost, waiting = attempt in server.presumed_lost, attempt in server.waiting
             server.presumed_lost.discard(attempt)
-            self.endpoints.inflight -= not presumed_lost and not server.ejected
+            server.waiting.discard(attempt)
+            self.endpoints.inflight -= not (presumed_lost or waiting or server.ejected)
             self.update_estimates(server, since_ns, class_index, event, presumed_lost=presumed_lost)
         return server
 
--- a/ochreflow/policy/state_records.py
+++ b/ochreflow/policy/state_records.py
@@ -101,12 +101,14 @@
         self.in_flight: dict[AttemptKey, InFlightAttempt] = {}
         # Attempts in flight whose answers are no longer expected.
         self.presumed_lost: set[AttemptKey] = set()
+        # Attempts in flight that wait for a connection, so the server does not know of them yet.
+        self.waiting: set[AttemptKey] = set()
         self.listed = True
         self.restart(entry, now)
 
     def awaited_count(self) -> int:
-        """Return the number of attempts in flight whose answers are still expected."""
-        return len(self.in_flight) - len(self.presumed_lost)
+        """Return the number of attempts that were sent and whose answers are still expected."""
+        return len(self.in_flight) - len(self.presumed_lost) - len(self.waiting)
 
     def restart(self, entry: Endpoint, now: int) -> None:
         """Reset all estimates: the entry describes another incarnation of the server."""
@@ -151,7 +153,7 @@
     zone: int  # zone of its server when the first byte was sent, as far as is known
     cell: int  # cell of its server at that time
     decided_at: int  # ns; the idempotency window starts here
-    sent_at: int  # ns; `decided_at`, or the end of the upload for a body that was still arriving
+    sent_at: int  # ns; `decided_at`, or the end of the upload of its body or of its wait for a connection
     state: AttemptState = IN_FLIGHT
 
 
