Use no connection again after a response other than 200

Cause: `_finish` released the connection after any complete response; the settling time is counted from the error. Change: only a 200 proves that no other response is due; after any other response the connection is closed.

--- a/ochreflow/http/upstream_connection.py
+++ b/ochreflow/http/upstream_connection.py
@@ -279,7 +279,9 @@
             self._log_unrequested("the response was complete")
         self.pause_response(paused=False)
         self._release_response()
-        if self.response.keep_alive and not self.unwritten and not self.response.surplus and not unproven:
+        # An error may have crossed the request instead of answering it: the response would still come.
+        answered = status is Status.OK and not self.unwritten
+        if answered and self.response.keep_alive and not self.response.surplus:
             self.pool.release(self)
         else:
             self.close()
--- a/tests/test_unrequested_data.py
+++ b/tests/test_unrequested_data.py
@@ -94,6 +94,7 @@
     send_extra: asyncio.Event | None = None  # replaces `late_s`
     ends_after_extra: bool = False
     stalls: bool = False  # whether it reads nothing after its first request
+    unprompted: dict[str, bytes] = field(default_factory=dict)  # by the id of the request that it crosses
 
     async def start(self):
         sock = socket.socket()
@@ -113,6 +114,9 @@
                 message = await read_message(reader)
                 request_id = message.headers["x-request-id"]
                 self.requests.append(request_id)
+                if request_id in self.unprompted:
+                    writer.write(self.unprompted.pop(request_id))
+                    await asyncio.sleep(2 * SETTLING_TIME_S)  # its response comes later than another request
                 if request_id == "first" and self.requests.count("first") == 1:
                     await self._answer_first(writer)
                     if self.stalls:
@@ -306,6 +310,38 @@
     run(scenario())
 
 
+UNPROMPTED_ERRORS = {
+    "500": http_response(500, b"error"),
+    "500 in chunks": chunked(500, b"error"),
+    "408": http_response(408),
+    "503": http_response(503),
+    "503 not run": http_response(503, b"", NOT_RUN),
+    "504 not run": http_response(504, b"", NOT_RUN),
+    "503 not run, in chunks": b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("crossed", ["first", "second"])
+@pytest.mark.parametrize("class_name", CLASSES)
+@pytest.mark.parametrize("error", UNPROMPTED_ERRORS)
+def test_the_response_to_a_request_that_an_error_has_crossed_reaches_no_other(
+    tmp_path, error, class_name, crossed
+):
+    """The error is later than the settling time or comes on a new connection, before the real response."""
+
+    async def scenario():
+        server = Server(extra=lambda _: b"", unprompted={crossed: UNPROMPTED_ERRORS[error]})
+        async with sidecar_with(server, tmp_path) as sidecar:
+            for request_id in ("first", "second"):
+                response = await send_request(sidecar.port, http_request(class_name, request_id))
+                assert response.code != 200 or response.body == body_of(request_id)
+                await asyncio.sleep(1.1 * SETTLING_TIME_S)
+            check_own_response(await send_request(sidecar.port, http_request("lookup", "third")), "third")
+
+    run(scenario())
+
+
 async def send_together(sidecar, class_name, ids):
     """Send requests at the same time and check their responses."""
     requests = (send_request(sidecar.port, http_request(class_name, request_id)) for request_id in ids)
