Let the slower server of the drain tests show that it is slow

A line for each latency sample shows why: the slower server answers in a constant 20 ms, so its estimate rises to 1.0 of the mean from below, and a server without samples counts as 1.0. Change: the servers of these tests take twice their time for every second response. What the tests ask is unchanged.

--- a/tests/test_descriptor_limits.py
+++ b/tests/test_descriptor_limits.py
@@ -165,7 +165,10 @@
 
 
 class Server:
-    """Answers after `response_time_s`; the faster of two servers gets more requests."""
+    """Answers after `response_time_s`, every second time after twice that.
+
+    The faster of two servers gets more requests, once the latency of the slower one has shown it.
+    """
 
     def __init__(self, response_time_s):
         self.response_time_s = response_time_s
@@ -178,7 +181,7 @@
         if request_id in self.arrivals:
             self.duplicates.append(request_id)
         self.arrivals[request_id] = monotonic()
-        await asyncio.sleep(self.response_time_s)
+        await asyncio.sleep(self.response_time_s * (1 + len(self.arrivals) % 2))
         await answer_ok(got, reader, writer)
 
 
