Measure the cost of rejections, and check out the builds of benchmarks in one place

Three benchmarks had the same lines that add and remove a git worktree; `checkout.checkouts` has them now.

--- a/benchmarks/connections.py
+++ b/benchmarks/connections.py
@@ -15,17 +15,14 @@
 import json
 import multiprocessing
 import random
-import subprocess
-import tempfile
 from collections.abc import Iterator
 from dataclasses import dataclass
 from http import HTTPStatus
 from multiprocessing.connection import Connection
-from pathlib import Path
 from time import perf_counter
 
 import uvloop
-from checkout import ROOT
+from checkout import checkouts
 from overhead import CORES, HOST, Build, pin
 
 from ochreflow.lab.client_connection import ClientConnection
@@ -34,6 +31,7 @@
 
 SERVERS = 4
 WORK_S = "X-Work"  # header with the time that a request takes, in seconds
+REJECTED_SHARE = "X-Rejected-Share"  # header with the share of its attempts that a server rejects
 GET_SHARE = 0.7
 MS_PER_S = 1000
 
@@ -48,6 +46,7 @@
     clients: int = 0  # each sends the next request once the last one is answered
     sockets: int | None = None  # limit of the sidecar's descriptors; None: the lab's
     server_connections: int = 0  # connections that each server accepts; 0: any number
+    rejected_share: float = 0.0  # share of the attempts that a server rejects at once
 
 
 LOADS = (
@@ -59,6 +58,11 @@
     Load("saturated, 128 descriptors", (0.0, 0.0), clients=32, sockets=128),
     Load("busy, 128 descriptors", (0.005, 0.015), rate=320.0, sockets=128),
     Load("busy, servers accept 8 connections", (0.005, 0.015), rate=320.0, server_connections=8),
+    Load("usual, a fifth is rejected", (0.11, 0.19), rate=40.0, rejected_share=0.2),
+    Load("busy, a fifth is rejected", (0.005, 0.015), rate=320.0, rejected_share=0.2),
+    Load(
+        "busy, a fifth is rejected, 128 descriptors", (0.005, 0.015), 320.0, sockets=128, rejected_share=0.2
+    ),
 )
 
 
@@ -73,6 +77,7 @@
     peaks = [0] * SERVERS
     peak_in_all = 0
     opened = 0
+    chance = random.Random(2)
 
     async def serve() -> None:
         nonlocal peak_in_all, opened
@@ -84,7 +89,9 @@
             peaks[:] = map(max, peaks, counts)
             peak_in_all = max(peak_in_all, sum(counts))
             work_s = float(request.headers.get(WORK_S.lower(), "0"))
-            if work_s:
+            if chance.random() < float(request.headers.get(REJECTED_SHARE.lower(), "0")):
+                request.answer(HTTPStatus.SERVICE_UNAVAILABLE, b"", "X-Not-Run: 1")
+            elif work_s:
                 loop.call_later(work_s, request.answer, HTTPStatus.OK, b"ok")
             else:
                 request.answer(HTTPStatus.OK, b"ok")
@@ -107,13 +114,14 @@
     uvloop.run(serve())
 
 
-def make_request(chance: random.Random, work_s: float) -> bytes:
+def make_request(chance: random.Random, work_s: float, rejected_share: float) -> bytes:
     """Return a request that takes `work_s` seconds: a GET, or a POST that must not be repeated."""
     request_id = f"{random.getrandbits(64):016x}"
     is_get = chance.random() < GET_SHARE
     lines = [
         "GET /exposure/flags HTTP/1.1" if is_get else "POST /assign/flags HTTP/1.1",
         f"Host: nodes\r\nX-Request-Id: {request_id}\r\nX-Deadline: 2000m\r\n{WORK_S}: {work_s:.4f}",
+        f"{REJECTED_SHARE}: {rejected_share}",
         *([] if is_get else ["Content-Length: 4"]),
     ]
     return "\r\n".join([*lines, "", "" if is_get else "body"]).encode()
@@ -136,7 +144,7 @@
         """Send one request and record its result."""
         loop = asyncio.get_running_loop()
         work_s = self.chance.uniform(*self.load.work_s)
-        data = make_request(self.chance, work_s)
+        data = make_request(self.chance, work_s, self.load.rejected_share)
         began = perf_counter()
         client = None
         while self.idle and (client is None or not client.open):
@@ -215,27 +223,16 @@
     pipe, child_pipe = multiprocessing.Pipe()
     multiprocessing.Process(target=serve_nodes, args=(child_pipe,), daemon=True).start()
     ports = pipe.recv()
-    with tempfile.TemporaryDirectory() as temporary:
-        checkouts = {"after": ROOT}
-        if options.before:
-            checkouts = {"before": Path(temporary) / "before", "after": ROOT}
-            add = ["git", "worktree", "add", "-q", "--detach", str(checkouts["before"]), options.before]
-            subprocess.run(add, cwd=ROOT, check=True)
-        results: dict[str, dict[str, dict[str, float]]] = {}
-        try:
-            for load in LOADS:
-                for name, checkout in checkouts.items():
-                    build = Build(
-                        checkout, *ports, sockets=load.sockets
-                    )  # a new process: no connection of an earlier load
-                    try:
-                        results.setdefault(load.name, {})[name] = measure(build, pipe, load, options.seconds)
-                    finally:
-                        build.process.kill()
-        finally:
-            if options.before:
-                remove = ["git", "worktree", "remove", "--force", str(checkouts["before"])]
-                subprocess.run(remove, cwd=ROOT, check=True)
+    results: dict[str, dict[str, dict[str, float]]] = {}
+    with checkouts(options.before) as paths:
+        for load in LOADS:
+            for name, path in paths.items():
+                # A new process: no connection of an earlier load.
+                build = Build(path, *ports, sockets=load.sockets)
+                try:
+                    results.setdefault(load.name, {})[name] = measure(build, pipe, load, options.seconds)
+                finally:
+                    build.process.kill()
     print(json.dumps(results, indent=1))
 
 
--- a/benchmarks/overhead.py
+++ b/benchmarks/overhead.py
@@ -19,14 +19,13 @@
 import statistics
 import subprocess
 import sys
-import tempfile
 from http import HTTPStatus
 from multiprocessing.connection import Connection
 from pathlib import Path
 from time import perf_counter
 
 import uvloop
-from checkout import ROOT
+from checkout import checkouts
 
 from ochreflow.lab.client_connection import ClientConnection
 from ochreflow.lab.http_server import HttpRequest, HttpService
@@ -189,13 +188,8 @@
     pipe, child_pipe = multiprocessing.Pipe()
     multiprocessing.Process(target=node, args=(child_pipe,), daemon=True).start()
     node_port = pipe.recv()
-    with tempfile.TemporaryDirectory() as temporary:
-        checkouts = {"after": ROOT}
-        if options.before:
-            checkouts["before"] = Path(temporary) / "before"
-            add = ["git", "worktree", "add", "-q", "--detach", str(checkouts["before"]), options.before]
-            subprocess.run(add, cwd=ROOT, check=True)
-        builds = {name: Build(checkout, node_port) for name, checkout in checkouts.items()}
+    with checkouts(options.before) as paths:
+        builds = {name: Build(path, node_port) for name, path in paths.items()}
         try:
             idle = {name: round(build.resident_mib(), 2) for name, build in builds.items()}
             ports = {"direct": node_port, **{name: build.port for name, build in builds.items()}}
@@ -203,9 +197,6 @@
         finally:
             for build in builds.values():
                 build.process.kill()
-            if options.before:
-                remove = ["git", "worktree", "remove", "--force", str(checkouts["before"])]
-                subprocess.run(remove, cwd=ROOT, check=True)
     print(json.dumps({"rates": result, "idle_mb": idle}, indent=1))
 
 
--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -24,7 +24,7 @@
 from pathlib import Path
 
 import uvloop
-from checkout import ROOT
+from checkout import ROOT, checkout_of
 from overhead import HOST, NODE_NAMES, config, node, request
 
 from ochreflow.lab.client_connection import ClientConnection
@@ -131,21 +131,14 @@
     multiprocessing.Process(target=node, args=(child_pipe,), daemon=True).start()
     node_port = pipe.recv()
     passed = True
-    with tempfile.TemporaryDirectory() as temporary:
-        before = Path(temporary) / "before"
-        add = ["git", "worktree", "add", "-q", "--detach", str(before), options.before]
-        subprocess.run(add, cwd=ROOT, check=True)
-        try:
-            for name, pair in {"upgrade": (before, ROOT), "way back": (ROOT, before)}.items():
-                counts = uvloop.run(run_upgrade(*pair, node_port))
-                print(json.dumps({name: counts}))
-                failures = (
-                    counts["other answers"] + counts["refused connections"] + counts["exit code of the first"]
-                )
-                passed = passed and not failures and counts["served"] > 0
-        finally:
-            remove = ["git", "worktree", "remove", "--force", str(before)]
-            subprocess.run(remove, cwd=ROOT, check=True)
+    with checkout_of(options.before) as before:
+        for name, pair in {"upgrade": (before, ROOT), "way back": (ROOT, before)}.items():
+            counts = uvloop.run(run_upgrade(*pair, node_port))
+            print(json.dumps({name: counts}))
+            failures = (
+                counts["other answers"] + counts["refused connections"] + counts["exit code of the first"]
+            )
+            passed = passed and not failures and counts["served"] > 0
     return 0 if passed else 1
 
 
