Send the real response after some errors in the soak

The soak had copies of 200 only. Its servers now send the real response 60 to 200 ms after each 500, as if the error had crossed the request.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -5,7 +5,7 @@
 their open connections, and SIGKILL follows at the earliest time that the protocol allows. The checks are
 those of the protocol: each request gets one final answer in time, none that may not be repeated is, no new
 work goes to a draining server after its grace, and the process neither crashes nor logs an internal error. A
-copy follows some responses: no client gets it as the response to its request.
+copy follows some responses, and the real response some errors: no client gets either for another request.
 
     PYTHONPATH=.:tests python tests/soak.py --first 1000 --seeds 60 --jobs 6
 """
@@ -58,6 +58,7 @@
 CALL_FAILURES = ("503", "reset", "late 503")
 LATE_S = 2.0
 SECOND_RESPONSE_SHARE = 0.1  # of the responses, a copy follows
+RESPONSE_AFTER_ERROR_S = (0.06, 0.2)  # later than the settling time of an idle connection
 SECOND_RESPONSE_AFTER_S = (0.002, 0.008)
 MAX_SECOND_RESPONSE_AFTER_S = 0.03  # not sent later, when this program is too slow
 
@@ -123,8 +124,9 @@
             writer.write(http_response(503, b"", "X-Not-Run: 1"))
         elif behaviour == "error":
             writer.write(http_response(500, b""))
+            run.loop.create_task(self.respond_after_error(writer, message))
         else:
-            response = http_response(200, served_body(message.headers["x-request-id"], message.body))
+            response = served_response(message)
             writer.write(response)
             if run.copy_rng.random() < SECOND_RESPONSE_SHARE:
                 run.loop.create_task(self.send_copy(writer, response))
@@ -137,6 +139,17 @@
             writer.write(response)
             self.run.record.results["copies"] += 1
 
+    async def respond_after_error(self, writer, message):
+        """Send the response to a request that an error seemed to answer, as if it had only crossed it."""
+        await asyncio.sleep(self.run.copy_rng.uniform(*RESPONSE_AFTER_ERROR_S))
+        if not writer.is_closing():
+            writer.write(served_response(message))
+            self.run.record.results["responses after errors"] += 1
+
+
+def served_response(message):
+    return http_response(200, served_body(message.headers["x-request-id"], message.body))
+
 
 def served_body(request_id, body):
     return f"served {request_id} ".encode() + body
