--- a/ochreflow/policy/balancer.py
+++ b/ochreflow/policy/balancer.py
@@ -327,9 +327,10 @@
         if attempt.state is not IN_FLIGHT:
             return
         server, sent_at = attempt.server, attempt.sent_at
-        recheck_at = 2 * self.context.now - sent_at
+        recheck_at = max(2 * self.context.now - sent_at, self.context.now + 1)
         if (request.id, number) in server.waiting:  # the wait says nothing of its server
-            self.context.schedule(timer._replace(due_ns=recheck_at))
+            if recheck_at < request.deadline:
+                self.context.schedule(timer._replace(due_ns=recheck_at))
             return
         silent = server.last_alive_at <= sent_at
         if timer.rechecks:
--- a/tests/test_connection_wait.py
+++ b/tests/test_connection_wait.py
@@ -22,7 +22,7 @@
 )
 
 from ochreflow.http import idle_connections
-from ochreflow.policy.interface import Outcome, Send, Status
+from ochreflow.policy.interface import Outcome, Send, Status, Timer
 
 SETTLING_TIME_S = 0.5
 INITIAL_LIMIT = 4  # on requests in flight, with one server
@@ -99,6 +99,17 @@
     assert (waiting.server.consecutive_failures == 0.0) is waits
 
 
+def test_a_wait_that_begins_again_as_its_attempt_is_overdue_ends_the_handling_of_timers():
+    """Guards against a timer that is due again at once: nothing has passed since the first byte."""
+    waiting = Waiting()
+    (timer,) = waiting.balancer.context.timers
+    waiting.now = timer.due_ns
+    waiting.balancer.write_by(waiting.now, 1, 0)
+    waiting.balancer.begin_wait(waiting.now, 1, 0)
+    waiting.balancer.handle(waiting.now, Timer(waiting.balancer.timer_token))
+    assert min(waiting.balancer.context.timers).due_ns > waiting.now
+
+
 def test_a_request_that_waits_for_a_connection_leaves_the_limit_to_others(tmp_path, monkeypatch):
     monkeypatch.setattr(idle_connections, "SETTLING_TIME_S", SETTLING_TIME_S)
 
