Use connections again after a rejection, and open spare ones half a second after one

Change: only an error closes its connection (500, 408, 503 without X-Not-Run). A rejection keeps spare ones away for 0.5 s; a refused or broken connection for 10 s as before.

--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -18,7 +18,10 @@
 from .read_scheduler import ReadScheduler
 from .upstream_connection import Connection, Target
 
-REFUSAL_BACKOFF_S = 10.0  # time after a refused connection in which no spare ones are opened to that server
+# Time after a refused connection, and after a rejection of the first request on one, in which no spare ones
+# are opened to that server. A server may reject for want of connections or of anything else.
+REFUSAL_BACKOFF_S = 10.0
+REJECTION_BACKOFF_S = 0.5
 IDLE_TIMEOUT_SHARE = 0.7  # share of the time after which a server may close an idle connection
 
 
@@ -128,7 +131,10 @@
         pool grow to what the traffic needs. Each costs its server work, and servers accept a limited number
         of them, which no setting states.
         """
-        return not self.descriptors.full and monotonic() - target.refused_at >= REFUSAL_BACKOFF_S
+        now = monotonic()
+        refused = now - target.refused_at < REFUSAL_BACKOFF_S
+        rejected = now - target.rejected_at < REJECTION_BACKOFF_S
+        return not (self.descriptors.full or refused or rejected)
 
     def _watch_settling(self, target: Target) -> None:
         """Serve the waiting exchanges when the next idle connection is settled."""
--- a/ochreflow/http/upstream_connection.py
+++ b/ochreflow/http/upstream_connection.py
@@ -56,7 +56,8 @@
         # Exchanges that wait, in order of arrival, and whether a connection is being opened for each.
         self.waiting: dict[Exchange, bool] = {}
         self.settle_timer: asyncio.TimerHandle | None = None  # fires when another idle connection is settled
-        self.refused_at = -math.inf  # when it last refused a new connection, or the first request on one
+        self.refused_at = -math.inf  # when it last refused a new connection, or broke it on the first request
+        self.rejected_at = -math.inf  # when it last rejected the first request on a new connection
 
     @property
     def sendable(self) -> list[Exchange]:
@@ -99,6 +100,11 @@
         """
         return bool(self.stream.unsent) or self.uploading is not None
 
+    @property
+    def reused(self) -> bool:
+        """Whether it has carried a response; if not, a failure may mean that its server accepts no more."""
+        return self.answered_at > -math.inf
+
     @property
     def arrived(self) -> bool:
         """Whether the server's host has acknowledged the whole request."""
@@ -224,8 +230,8 @@
     def connection_broken(self) -> None:
         """Close the connection, and end its exchange, if any, without a complete response."""
         exchange, self.exchange = self.exchange, None
-        if exchange is not None:
-            self._note_refusal()
+        if exchange is not None and not self.reused:
+            self.target.refused_at = monotonic()
         never_ran = self.unwritten
         self.close()
         if exchange is not None:
@@ -268,8 +274,8 @@
         exchange, response = self.exchange, self.response.complete
         assert exchange is not None and response is not None
         status = classify(response)
-        if status is Status.REJECTED:
-            self._note_refusal()
+        if status is Status.REJECTED and not self.reused:
+            self.target.rejected_at = monotonic()
         # A rejection proves nothing while part of the request is in flight: it cannot be the response to the
         # whole request, whose rest may arrive after the connection is closed.
         unproven = status is Status.REJECTED and not self.arrived
@@ -279,8 +285,9 @@
             self._log_unrequested("the response was complete")
         self.pause_response(paused=False)
         self._release_response()
-        # An error may have crossed the request instead of answering it: the response would still come.
-        answered = status is Status.OK and not self.unwritten
+        # An error may have crossed the request instead of answering it: the response would still come. A
+        # request that was rejected never ran, so it has no other response.
+        answered = status is not Status.ERROR and not self.unwritten and not unproven
         if answered and self.response.keep_alive and not self.response.surplus:
             self.pool.release(self)
         else:
@@ -290,11 +297,6 @@
         else:
             exchange.end(status, response)
 
-    def _note_refusal(self) -> None:
-        """Record that the first request on a new connection failed: the server may accept no more of them."""
-        if self.answered_at == -math.inf:
-            self.target.refused_at = monotonic()
-
     def _log_unrequested(self, state: str) -> None:
         """Log that data came which belongs to no request, and how long after the last response."""
         host, port = self.target.address
