--- a/ochreflow/http/connection.py
+++ b/ochreflow/http/connection.py
@@ -24,7 +24,7 @@
 )
 from .socket_progress import StallTimer, unacknowledged, unread_bytes
 
-MAX_ANSWERS_AT_ONCE = 64  # requests without a server that are answered before other connections are served
+MAX_ANSWERS_AT_ONCE = 64  # requests answered without waiting, before other connections are served
 
 
 class ClientConnection(ClosingConnection):
