Do not count a hold-up of the machine towards the settling time of a connection

Cause, from the case's record and from four processes that did nothing but sleep 2 ms at a time: all four stood still together for 60 to 165 ms, several times within seconds, and the server wrote the second copy 121.8 ms after the first response, by its own clock; it had drawn 2 to 8 ms. The sidecar counted the 50 ms of the settling time by the monotonic clock, which goes on meanwhile, found nothing to read right after the hold-up, and sent the next request. Change: a settling connection's time is that of `RunningClock`, on which the time between two ticks of the loop, 25 ms apart, counts as 25 ms at most. It ticks only while a connection settles. At least 25 ms in which the loop ran follow a hold-up. Result: the four cases of test_a_time_in_which_the_machine_is_held_up_does_not_settle_a_connection failed before and pass.

--- a/ochreflow/http/idle_connections.py
+++ b/ochreflow/http/idle_connections.py
@@ -3,7 +3,8 @@
 Responses are matched to requests only by their order on a connection. A server may send a second response to
 a request some milliseconds after the first one. If the next request were written by then, the second response
 would be taken for its response. A connection is therefore used again only once it is settled: some time after
-its last response, within which a second response would have arrived and closed the connection.
+its last response, within which a second response would have arrived and closed the connection. That time is
+counted while the loop runs: if the machine is held up, a second response is late by that too.
 """
 
 from __future__ import annotations
@@ -15,16 +16,18 @@
 from time import monotonic
 from typing import Generic, Protocol, TypeVar
 
+from .running_clock import RunningClock
+
 # No setting states how late a second response can be; the protocol extends each time limit on sockets by this
 # slack.
 SETTLING_TIME_S = 0.05
 
 
 class PooledConnection(Protocol):
-    """A connection, as far as this module knows it; times are monotonic, in seconds."""
+    """A connection, as far as this module knows it; times are in seconds."""
 
-    idle_since: float
-    answered_at: float  # when its last response was complete; minus infinity if it has carried none
+    idle_since: float  # on the monotonic clock
+    settles_at: float  # on the running clock; minus infinity if it has carried no response
 
 
 ConnectionT = TypeVar("ConnectionT", bound=PooledConnection)
@@ -33,8 +36,9 @@
 class IdleConnections(Generic[ConnectionT]):
     """The idle connections to one server: those that are settled, and those that are settling."""
 
-    def __init__(self, *, settle: bool = True) -> None:
+    def __init__(self, clock: RunningClock, *, settle: bool = True) -> None:
         """Start without connections. Without `settle`, each one is settled at once."""
+        self.clock = clock
         self.settling_time_s = SETTLING_TIME_S if settle else 0.0
         self._settled: list[ConnectionT] = []  # sorted by `idle_since`, the most recently used last
         self._settling: deque[ConnectionT] = deque()  # in the order of their last responses
@@ -51,9 +55,14 @@
         """Iterate over a copy, so that connections may be closed meanwhile; settled ones come first."""
         return iter([*self._settled, *self._settling])
 
+    def response_completed(self, connection: ConnectionT) -> None:
+        """Record that a connection's response is complete: from now on it settles."""
+        if self.settling_time_s:
+            connection.settles_at = self.clock.run_for(self.settling_time_s)
+
     def is_settled(self, connection: ConnectionT) -> bool:
         """Return whether a second response to the connection's last request would have arrived by now."""
-        return connection.answered_at + self.settling_time_s <= monotonic()
+        return connection.settles_at <= self.clock.now()
 
     def add(self, connection: ConnectionT) -> None:
         """Add a connection, which becomes idle now."""
@@ -92,10 +101,10 @@
         return self._settling[0] if self._settling else None
 
     def next_settles_in(self) -> float:
-        """Return the seconds until another connection is settled; infinity if none is settling."""
+        """Return the least time in seconds until another one is settled; infinity if none is settling."""
         if not self._settling:
             return math.inf
-        return max(self._settling[0].answered_at + self.settling_time_s - monotonic(), 0.0)
+        return max(self._settling[0].settles_at - self.clock.now(), 0.0)
 
     def _update(self) -> None:
         """Move the connections that have settled."""
--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -16,6 +16,7 @@
 from ..policy.interface import State, Status
 from .exchange import Exchange
 from .read_scheduler import ReadScheduler
+from .running_clock import RunningClock
 from .upstream_connection import Connection, Target
 
 # Time after a refused connection, and after a rejection of the first request on one, in which no spare ones
@@ -58,6 +59,7 @@
         self.memory = memory
         self.connect_timeout = connect_timeout
         self.idle_timeout = idle_timeout * IDLE_TIMEOUT_SHARE
+        self.running_clock = RunningClock(loop)
         self.targets: dict[int, Target] = {}
         self.connections: set[Connection] = set()
 
@@ -67,7 +69,7 @@
         """Apply a server's entry of the endpoint list; a restart or move closes its idle connections."""
         target = self.targets.get(server)
         if target is None:
-            target = self.targets[server] = Target(address, since_ms, settle=self.settle)
+            target = self.targets[server] = Target(address, since_ms, self.running_clock, settle=self.settle)
         elif target.since_ms != since_ms or target.address != address:
             self.close_idle(server)
             target.since_ms, target.address = since_ms, address
--- a/ochreflow/http/upstream_connection.py
+++ b/ochreflow/http/upstream_connection.py
@@ -17,6 +17,7 @@
 from .idle_connections import IdleConnections
 from .read_scheduler import ReadScheduler
 from .response import ResponseParser, classify
+from .running_clock import RunningClock
 from .socket_progress import StallTimer
 from .socket_stream import SocketStream
 
@@ -46,13 +47,15 @@
 class Target:
     """A server's address, the idle connections to it, and the exchanges that wait for a connection."""
 
-    def __init__(self, address: tuple[str, int], since_ms: int, *, settle: bool = True) -> None:
-        """Describe a server at `address` that started at `since_ms`; `settle` as in `IdleConnections`."""
+    def __init__(
+        self, address: tuple[str, int], since_ms: int, clock: RunningClock, *, settle: bool = True
+    ) -> None:
+        """Describe a server at `address` that started at `since_ms`; the rest is as in `IdleConnections`."""
         self.address = address
         self.since_ms = since_ms
         self.generation = 0  # incremented by a restart or move; earlier connections are not reused
         self.accepts_requests = True
-        self.idle: IdleConnections[Connection] = IdleConnections(settle=settle)
+        self.idle: IdleConnections[Connection] = IdleConnections(clock, settle=settle)
         # Exchanges that wait, in order of arrival, and whether a connection is being opened for each.
         self.waiting: dict[Exchange, bool] = {}
         self.settle_timer: asyncio.TimerHandle | None = None  # fires when another idle connection is settled
@@ -82,6 +85,7 @@
         self.closed = False
         self.idle_since = 0.0
         self.answered_at = -math.inf  # when its last response was complete
+        self.settles_at = -math.inf  # see `IdleConnections`
         self.response = ResponseParser(pool.memory)
         self.last_read = 0.0  # when the last bytes of the response arrived
         self.read_stall: asyncio.TimerHandle | None = None  # runs while a response is incomplete
@@ -281,6 +285,7 @@
         unproven = status is Status.REJECTED and not self.arrived
         self.exchange = None
         self.answered_at = monotonic()
+        self.target.idle.response_completed(self)
         if self.response.surplus:
             self._log_unrequested("the response was complete")
         self.pause_response(paused=False)
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -136,7 +136,7 @@
         # an exchange may have used the connection of another one while its own is still being opened
         await wait_until(lambda: len(pool.targets[1].idle) == 3)
         for connection in pool.targets[1].idle:  # the settling time of all of them is over
-            connection.answered_at -= idle_connections.SETTLING_TIME_S
+            connection.settles_at -= idle_connections.SETTLING_TIME_S
         latest = list(pool.targets[1].idle)[-1]
         _, end = start(pool)
         assert latest.exchange is not None
--- a/tests/test_second_response.py
+++ b/tests/test_second_response.py
@@ -9,6 +9,7 @@
 import contextlib
 import math
 import socket
+import time
 from time import monotonic
 
 import pytest
@@ -31,6 +32,7 @@
 from ochreflow.core.limits import MB, Descriptors, Memory
 from ochreflow.http import idle_connections
 from ochreflow.http.exchange import Exchange
+from ochreflow.http.running_clock import TICK_S, RunningClock
 from ochreflow.http.upstream import Upstreams
 from ochreflow.policy.interface import State, Status
 
@@ -39,6 +41,7 @@
 SERVED = (Status.OK, b"the real one")
 PAYLOAD = b"GET /lookup HTTP/1.1\r\nX-Request-Id: ab\r\n\r\n"
 LONG_SETTLING_TIME_S = 0.3  # long enough for data sent right at its beginning to arrive
+HOLD_UP_S = 0.15
 ENDLESS_SETTLING_TIME_S = 3600.0
 SERVER_TIMEOUT_S = 2.0  # longest wait of a server for a connection or a request
 
@@ -71,7 +74,7 @@
         """Put the last response of an idle connection into the past."""
         idle = self.pool.targets[1].idle
         idle.remove(connection)
-        connection.answered_at -= idle.settling_time_s
+        connection.settles_at -= idle.settling_time_s
         idle.add(connection)
 
     def start(self):
@@ -240,6 +243,43 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("second", [REJECTION, http_response(200, b"another's")], ids=["503", "200"])
+@pytest.mark.parametrize("started", ["before", "after"])
+def test_a_time_in_which_the_machine_is_held_up_does_not_settle_a_connection(second, started):
+    """Guards against a second response that is as late as the hold-up and some milliseconds more."""
+
+    async def scenario():
+        setup = PoolWithServer()
+        server = await setup.answered_connection()
+        end = setup.start()[1] if started == "before" else None
+        time.sleep(HOLD_UP_S)  # the loop of the sidecar and of its server stands still
+        end = end or setup.start()[1]
+        await asyncio.sleep(0.005)
+        server.sendall(second)
+        other = await setup.accept()
+        await setup.read(other)
+        other.sendall(REAL_RESPONSE)
+        assert await end == SERVED
+        await setup.check_nothing_was_written(server)
+        setup.close()
+
+    run(scenario())
+
+
+def test_the_running_clock_counts_a_hold_up_as_one_tick_and_stops_when_nobody_waits():
+    async def scenario():
+        clock = RunningClock(asyncio.get_running_loop())
+        end_s = clock.run_for(0.1)
+        began = monotonic()
+        time.sleep(HOLD_UP_S)
+        await wait_until(lambda: clock.now() >= end_s)
+        assert monotonic() - began >= HOLD_UP_S + 0.1 - TICK_S
+        await asyncio.sleep(4 * TICK_S)
+        assert clock.now() <= end_s + 2 * TICK_S
+
+    run(scenario())
+
+
 ERRORS = {
     "500": http_response(500),
     "408": http_response(408),
