Wait at least a millisecond until a connection is settled

The time left until a connection is settled, a difference of two floats of the running clock, can be a rounding error; a timer with it is due at once, and in a time that stands still while something is due it never gets further. In real time it only spins until the clock has moved. Change: the time left is a millisecond at least. test_the_time_until_a_connection_is_settled_is_no_rounding_error fails without.

--- a/ochreflow/http/idle_connections.py
+++ b/ochreflow/http/idle_connections.py
@@ -21,6 +21,7 @@
 # No setting states how late a second response can be; the protocol extends each time limit on sockets by this
 # slack.
 SETTLING_TIME_S = 0.05
+MIN_SETTLING_DELAY_S = 0.001  # a rounding error of a float as a delay would never let the time advance
 
 
 class PooledConnection(Protocol):
@@ -104,7 +105,7 @@
         """Return the least time in seconds until another one is settled; infinity if none is settling."""
         if not self._settling:
             return math.inf
-        return max(self._settling[0].settles_at - self.clock.now(), 0.0)
+        return max(self._settling[0].settles_at - self.clock.now(), MIN_SETTLING_DELAY_S)
 
     def _update(self) -> None:
         """Move the connections that have settled."""
--- a/tests/test_second_response.py
+++ b/tests/test_second_response.py
@@ -280,6 +280,22 @@
     run(scenario())
 
 
+def test_the_time_until_a_connection_is_settled_is_no_rounding_error():
+    """Guards against a timer that is due at once, again and again, on a clock that stands still meanwhile."""
+
+    async def scenario():
+        setup = PoolWithServer()
+        await setup.answered_connection()
+        idle = setup.pool.targets[1].idle
+        now_s = idle.clock.now()
+        idle.clock.now = lambda: now_s
+        setup.idle[0].settles_at = now_s + 1e-15
+        assert idle.next_settles_in() >= idle_connections.MIN_SETTLING_DELAY_S
+        setup.close()
+
+    run(scenario())
+
+
 ERRORS = {
     "500": http_response(500),
     "408": http_response(408),
