Answer by the last byte that a client has written, also while it is not read

What callers saw: a POST of 328 kB to 4 MB whose server stopped reading got 503 after 5.0 s, with a deadline of 2 s; one whose server read 40 kB a second got its answer when the body had been passed on, seconds late. Requests that waited in the socket behind a full queue got their whole time anew when they were read.

Cause: the deadline watchdog of a request began with the read of its last byte. While the server does not read, the sidecar pauses its own reading, and the last byte waits in the socket or in the client's send buffer; only the stall timer, which looks every 2.5 s, ended such a request.

Change: each client connection knows since when data may wait unread (`ArrivalTracker`). The watchdog runs from that time while a body is incomplete, and so does the deadline of what is read later. What tells a client that still writes from one whose data waits: a drained socket; a receive window that is open (all that was written has arrived); data that arrives at an open window; more missing than the client's send buffer can hold. Servers are told the same time.

--- a/ochreflow/core/attempt_manager.py
+++ b/ochreflow/core/attempt_manager.py
@@ -207,13 +207,12 @@
 
         The time is computed again at the write, so that a server does no work that nobody waits for: a value
         from the time of the decision is too long if connecting took a while. The client's timeout runs
-        from the last byte of its body.
+        from the last byte of its body, which may have been written and wait to be read.
         """
         request, now = attempt.pending.request, self.clock.now()
+        remaining_ns = request.earliest_deadline_ns(now) - now
         if request.body.complete:
-            remaining_ns = request.deadline_ns - ATTEMPT_MARGIN_NS - now
-        else:
-            remaining_ns = request.timeout_ns
+            remaining_ns -= ATTEMPT_MARGIN_NS
         if attempt.timeout_ns > 0:
             return min(remaining_ns, attempt.sent_ns + attempt.timeout_ns - now)
         return remaining_ns
@@ -226,9 +225,7 @@
         """
         pending = attempt.pending
         request, now = pending.request, self.clock.now()
-        if not pending.unanswered or (
-            request.body.complete and now >= request.deadline_ns - ATTEMPT_MARGIN_NS
-        ):
+        if not pending.unanswered or now >= request.earliest_deadline_ns(now) - ATTEMPT_MARGIN_NS:
             return 0.0
         if request.body.discarded:  # another attempt has streamed the body; the balancer may not know yet
             return 0.0
--- a/ochreflow/core/body.py
+++ b/ochreflow/core/body.py
@@ -40,6 +40,9 @@
         # Called when `reading_paused` may have changed.
         self.on_reading_change: Callable[[], None] | None = None
         self.on_discarded: Callable[[], None] | None = None
+        # Returns the earliest time at which the client can have written the last byte of an incomplete body,
+        # in ns on the engine's clock. None: the body is read as it arrives.
+        self.earliest_end_ns: Callable[[], int] | None = None
 
     @property
     def reading_paused(self) -> bool:
@@ -76,6 +79,7 @@
         """Record that the last byte has arrived."""
         self.flush()
         self.complete = True
+        self.earliest_end_ns = None
         if self.sink is not None:
             self.sink.body_end()
 
@@ -102,6 +106,7 @@
         self.unflushed.clear()
         self._release_buffer()
         # Cleared to break the reference cycle between body and connection.
+        self.earliest_end_ns = None
         on_reading_change, self.on_reading_change, self.on_discarded = self.on_reading_change, None, None
         if on_reading_change is not None:
             on_reading_change()
--- a/ochreflow/core/ports.py
+++ b/ochreflow/core/ports.py
@@ -69,6 +69,16 @@
     body: Body
     pending_id: int = field(init=False, default=0)  # id given by the engine; 0: not accepted
 
+    def earliest_deadline_ns(self, now_ns: int) -> int:
+        """Return the earliest time at which the client can stop waiting, on the engine's clock.
+
+        While the body is incomplete, its last byte may have been written and wait to be read.
+        """
+        body = self.body
+        if body.complete or body.discarding:
+            return self.deadline_ns
+        return (now_ns if body.earliest_end_ns is None else body.earliest_end_ns()) + self.timeout_ns
+
 
 class ResponseSink(Protocol):
     """Receives the final response to a request, either whole or as a stream."""
--- a/ochreflow/core/request_manager.py
+++ b/ochreflow/core/request_manager.py
@@ -74,8 +74,7 @@
         if len(self.pending) > self.max_open:
             self.finish(pending, FinalResponse(Disposition.DECLINED, Reason.OVERLOADED))
             return
-        if request.body.complete:
-            self._start_watchdog(pending)
+        self._start_watchdog(pending)
         if self.arbiter is None:
             self._begin(pending)
         else:
@@ -226,8 +225,24 @@
     # The deadline watchdog
 
     def _start_watchdog(self, pending: PendingRequest) -> None:
-        remaining_ns = max(pending.request.deadline_ns - WATCHDOG_MARGIN_NS - self.clock.now(), 0)
-        pending.watchdog = self.loop.call_later(remaining_ns / NS_PER_S, self._time_out, pending)
+        """Wait for the earliest time at which the final response may be due."""
+        if pending.watchdog is not None:
+            pending.watchdog.cancel()
+        now_ns = self.clock.now()
+        due_ns = pending.request.earliest_deadline_ns(now_ns) - WATCHDOG_MARGIN_NS
+        remaining_ns = max(due_ns - now_ns, 0)
+        pending.watchdog = self.loop.call_later(remaining_ns / NS_PER_S, self._on_watchdog, pending)
+
+    def _on_watchdog(self, pending: PendingRequest) -> None:
+        """Give the final response, unless the client has been seen to write in the meantime."""
+        if not pending.unanswered or pending.streaming is not None:
+            return
+        now_ns = self.clock.now()
+        body_complete = pending.request.body.complete
+        if body_complete or pending.request.earliest_deadline_ns(now_ns) - WATCHDOG_MARGIN_NS <= now_ns:
+            self._time_out(pending)
+        else:
+            self._start_watchdog(pending)
 
     def _time_out(self, pending: PendingRequest) -> None:
         """Give the final response now, even if the balancer still plans attempts."""
--- a/ochreflow/http/clients.py
+++ b/ochreflow/http/clients.py
@@ -67,6 +67,10 @@
         """The address of the connection's client; empty if unknown."""
         ...
 
+    def sample_arrival(self) -> None:
+        """Record how much has arrived on a connection that is not read."""
+        ...
+
     def recent_body_bytes(self) -> int | None:
         """Return the bytes of the body since the last call; None if reading was paused in between."""
         ...
@@ -336,6 +340,9 @@
         This protects descriptors and memory against clients that never finish a message or never come back.
         """
         self._enforce_quota()
+        for client in self.incomplete:
+            if client.paused:
+                client.sample_arrival()
         now = monotonic()
         for client in _entered_by(self.incomplete, now - self.timeouts.head_s):
             received = client.recent_body_bytes()
--- a/ochreflow/http/paced_protocol.py
+++ b/ochreflow/http/paced_protocol.py
@@ -5,6 +5,8 @@
 import asyncio
 from abc import abstractmethod
 
+from ..core.clock import Clock
+from .arrival import ArrivalTracker, ReadSocket
 from .read_scheduler import MAX_READ_BYTES, MIN_READ_BYTES, ReadPace, ReadScheduler
 from .socket_progress import DisconnectMonitor
 
@@ -21,7 +23,11 @@
     """Reads from a transport in small portions, and pauses while the scheduler or the owner says so."""
 
     def __init__(
-        self, scheduler: ReadScheduler, buffer: ReceiveBuffer, disconnect_monitor: DisconnectMonitor
+        self,
+        scheduler: ReadScheduler,
+        buffer: ReceiveBuffer,
+        disconnect_monitor: DisconnectMonitor,
+        clock: Clock,
     ) -> None:
         """Start without a transport; while reading is paused, `disconnect_monitor` watches the connection."""
         self.transport: asyncio.Transport | None = None
@@ -29,6 +35,8 @@
         self.receive_buffer = buffer
         self.disconnect_monitor = disconnect_monitor
         self.read_pace = ReadPace()
+        self.arrival = ArrivalTracker(clock)
+        self.read_size = 0  # bytes that the current read may take
         self.has_read_time = True  # whether the data of the current read may be processed at once
         self.reading_enabled = True  # whether the owner wants data
         self.waits_to_read = False  # whether the scheduler resumes reading
@@ -50,16 +58,24 @@
     def reading_delayed(self) -> None:
         """Record that the connection waits although it may have sent data."""
 
+    @property
+    def socket(self) -> ReadSocket:
+        """The socket of the transport, which must be set."""
+        assert self.transport is not None
+        sock: ReadSocket = self.transport.get_extra_info("socket")
+        return sock
+
     # Called by the transport
 
     def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002  # the event loop passes it
         """Return the memory for the next read."""
         self.has_read_time = self.read_scheduler.begin_read(self.read_pace)
-        size = self.read_pace.read_bytes if self.has_read_time else MIN_READ_BYTES
-        return self.receive_buffer.view[:size]
+        self.read_size = self.read_pace.read_bytes if self.has_read_time else MIN_READ_BYTES
+        return self.receive_buffer.view[: self.read_size]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Process received data, or keep it for the next iteration of the loop."""
+        self.arrival.read(nbytes, self.socket, filled=nbytes == self.read_size)
         if not self.has_read_time:
             self.unprocessed = bytes(self.receive_buffer.view[:nbytes])
             self.read_scheduler.delay(self)
@@ -78,6 +94,7 @@
         data, self.unprocessed = self.unprocessed, b""
         try:
             if data:
+                self.arrival.data_behind_since_ns = self.arrival.behind_since_ns
                 self.data_received(memoryview(data))
             else:
                 self.continue_processing()
@@ -114,7 +131,9 @@
             return
         if self.reading_enabled and not self.waits_to_read:
             self.disconnect_monitor.remove(self.transport)
+            self.arrival.resume(self.socket)
             self.transport.resume_reading()
         else:
+            self.arrival.fall_behind()
             self.transport.pause_reading()
             self.disconnect_monitor.add(self.transport, self.close_if_disconnected)
--- a/ochreflow/http/request_reader.py
+++ b/ochreflow/http/request_reader.py
@@ -88,7 +88,12 @@
 
     def __init__(self, context: ConnectionContext) -> None:
         """Start without a transport, expecting the first message."""
-        super().__init__(context.read_scheduler, context.receive_buffer, context.disconnect_monitor)
+        super().__init__(
+            context.read_scheduler,
+            context.receive_buffer,
+            context.disconnect_monitor,
+            context.engine.clock,
+        )
         self.context = context
         self.engine: Engine = context.engine
         self.clients: Clients = context.clients
@@ -133,6 +138,19 @@
         paused, self.paused_recently = self.paused_recently, False
         return None if paused else received
 
+    def sample_arrival(self) -> None:
+        """Record how much has arrived on a connection that is not read."""
+        if self.uploading is not None and self.transport is not None:
+            self.arrival.sample(self.socket)
+
+    def _earliest_end_ns(self) -> int:
+        """Return the earliest time at which the last byte of the current message can have been written."""
+        body = self.body
+        if body is None or self.transport is None:
+            return self.engine.clock.now()
+        missing_bytes = None if body.length is None else body.length - body.size
+        return self.arrival.earliest_end_ns(self.socket, missing_bytes)
+
     def reading_delayed(self) -> None:
         """Let the time that the sidecar takes to read not count towards the limits on the client."""
         self.paused_recently = True
@@ -215,6 +233,7 @@
             return
         self.body = Body(self.engine.memory, None if chunked else stated_length)
         self.body.on_reading_change = self._update_reading
+        self.body.earliest_end_ns = self._earliest_end_ns
         self.head_completed = True
         self.body_size_at_sweep = 0
         if self.headers_bytes + len(self.target) > MAX_HEADERS_BYTES:
@@ -253,7 +272,7 @@
         request = self.uploading
         if request is not None:
             self.uploading = None
-            request.deadline_ns = self.engine.clock.now() + request.timeout_ns
+            request.deadline_ns = self.arrival.earliest_write_ns() + request.timeout_ns
             self.body.end()
             self.engine.requests.body_ended(request)
         elif not self.discarding:
@@ -277,7 +296,7 @@
         else:
             try:
                 item = self.context.request_parser.parse(
-                    self.engine.clock.now(),
+                    self.arrival.earliest_write_ns(),
                     self.parser.get_method(),
                     self.target,
                     self.headers,
--- a/ochreflow/http/socket_progress.py
+++ b/ochreflow/http/socket_progress.py
@@ -31,10 +31,14 @@
     return transport.get_write_buffer_size() + queued_by_system(fd)
 
 
+def unread_by_system(fd: int) -> int:
+    """Return the number of bytes in the kernel's receive buffer of a socket; 0 if it is closed."""
+    return int.from_bytes(ioctl(fd, termios.FIONREAD, IOCTL_BUFFER), sys.byteorder) if fd >= 0 else 0
+
+
 def unread_bytes(transport: asyncio.Transport) -> int:
     """Return the number of bytes in the kernel's receive buffer."""
-    fd = transport.get_extra_info("socket").fileno()
-    return int.from_bytes(ioctl(fd, termios.FIONREAD, IOCTL_BUFFER), sys.byteorder) if fd >= 0 else 0
+    return unread_by_system(transport.get_extra_info("socket").fileno())
 
 
 def peer_disconnected(transport: asyncio.Transport) -> bool:
