--- a/ochreflow/http/acceptor.py
+++ b/ochreflow/http/acceptor.py
@@ -19,6 +19,10 @@
 from .clients import Clients
 from .connection import ClientConnection
 
+# Connections accepted in one iteration of the loop while the clients' quota is used up. For each, another one
+# is closed, in a later iteration.
+ACCEPTS_OVER_QUOTA = 4
+
 
 class Acceptor:
     """Owns a listening socket, and passes each admitted connection to the event loop."""
@@ -44,7 +48,7 @@
     def _on_readable(self) -> None:
         """Accept as many waiting connections as the throttle allows."""
         count = 0
-        for _ in range(self.accept_throttle.accepts_allowed(monotonic())):
+        for _ in range(min(self.accept_throttle.accepts_allowed(monotonic()), self._room())):
             try:
                 sock, address = self.sock.accept()
             except (BlockingIOError, InterruptedError):
@@ -58,6 +62,11 @@
             self._admit(sock, str(address[0]))
         self.accept_throttle.accepted(count)
 
+    def _room(self) -> int:
+        """Return how many connections to accept before the clients beyond the quota have been closed."""
+        clients = len(self.clients.connections) + len(self.connecting)
+        return max(self.clients.descriptors.max_clients - clients, 0) + ACCEPTS_OVER_QUOTA
+
     def _admit(self, sock: socket.socket, host: str) -> None:
         # A client that has left would take a place among the clients for some iterations of the loop, and
         # clients behind it in the backlog would be rejected.
