Identify the processes of a sidecar by a random number, not by their pid

Cause: processes that share `$TMPDIR` knew each other by pid: in the name of their socket, as the owner of request ids, when a broken link is restored. A later process may have the pid of an earlier one, and in pid namespaces of their own two processes have the same at once: the newer one then removed the socket of the older, and neither knew the other's ids and usage.

Change: each process draws a number of 32 bits, which stands in the same places; the messages keep their form. It is logged with the pid (`hot_restart_available`). Paths of sockets may have 107 bytes, what unix(7) allows, as the number is longer than a pid.

Evidence: with the same pid for all processes, both new tests fail on the code before (no list is inherited; the ended process is never noticed) and pass with the change.

--- a/ochreflow/app/hot_restart.py
+++ b/ochreflow/app/hot_restart.py
@@ -24,7 +24,10 @@
 
 SOCKET_PREFIX = "sidecar-"
 SOCKET_SUFFIX = ".sock"
-MAX_PATH_BYTES = 100  # a longer path might not fit into the address of a Unix socket
+# A system's process id is not unique: a later process may get it again, and in process-id namespaces of their
+# own two processes have it at once.
+PROCESS_ID_BYTES = 4
+MAX_PATH_BYTES = 107  # a longer path does not fit into the address of a Unix socket, see unix(7)
 CONNECT_TIMEOUT_S = 0.25
 # A process starts without the greetings that arrive later. Until one arrives, the request ids of its sender
 # are unknown.
@@ -42,11 +45,12 @@
         directory: str,
         usage: Usage,
         own_inheritance: Callable[[], Inheritance],
-        pid: int | None = None,
+        process_id: int | None = None,
         request_ids: RequestIdRegistries | None = None,
     ) -> None:
-        """`own_inheritance` returns the state to hand over to a new process; `pid` is that of this one.
+        """`own_inheritance` returns the state to hand over to a new process.
 
+        `process_id` identifies this process among those of the sidecar, by default a random number.
         `request_ids` are those of this process, by default none.
         """
         self.loop = loop
@@ -54,11 +58,11 @@
         self.usage = usage
         self.own_inheritance = own_inheritance
         self.known_clients: list[object] = []  # snapshots received from the other processes at the start
-        self.pid = pid or os.getpid()
-        self.sharing = RequestIdSharing(self.pid, request_ids or RequestIdRegistries())
+        self.process_id = process_id or int.from_bytes(os.urandom(PROCESS_ID_BYTES), "big")
+        self.sharing = RequestIdSharing(self.process_id, request_ids or RequestIdRegistries())
         self.reconnecting: set[asyncio.Task[None]] = set()
         self.closed = False
-        self.path = self.directory / f"{SOCKET_PREFIX}{self.pid}{SOCKET_SUFFIX}"
+        self.path = self.directory / f"{SOCKET_PREFIX}{self.process_id}{SOCKET_SUFFIX}"
         self.server: asyncio.Server | None = None
         self.links: dict[Link, None] = {}
         self.last_shared_usage: tuple[int, ...] = ()  # usage last sent to the other processes
@@ -69,12 +73,12 @@
         if len(os.fsencode(self.path)) > MAX_PATH_BYTES:
             log.warning("hot_restart_unavailable", reason=f"the socket path {self.path} is too long")
             return None
-        _remove_file(self.path)  # left by an earlier process with the same pid
         try:
             self.server = await self.loop.create_unix_server(lambda: Link(self), str(self.path))
         except OSError as error:
             log.warning("hot_restart_unavailable", reason=str(error))
             return None
+        log.info("hot_restart_available", pid=os.getpid(), process=self.process_id)
         links = [link for path in self._other_paths() if (link := await self._connect(path)) is not None]
         if links:
             await asyncio.wait([link.greeted for link in links], timeout=GREETING_TIMEOUT_S)
@@ -87,7 +91,7 @@
     @property
     def processes(self) -> int:
         """The number of other running processes; two links to the same process count once."""
-        return len({link.pid for link in self.links if link.pid is not None})
+        return len({link.process_id for link in self.links if link.process_id is not None})
 
     def own_usage(self) -> tuple[int, ...]:
         """Return the usage of this process: descriptors, client connections, bytes of memory."""
@@ -95,33 +99,33 @@
 
     def update_others(self) -> None:
         """Add up the usage of the other processes, counting each process once."""
-        usages = {link.pid: link.usage for link in self.links if link.pid is not None}
+        usages = {link.process_id: link.usage for link in self.links if link.process_id is not None}
         totals = (sum(amounts) for amounts in zip(NO_USAGE, *usages.values(), strict=True))
         descriptors, clients, memory_bytes = totals
         self.usage.set_others(len(usages), descriptors, clients, memory_bytes)
 
     def link_ended(self, link: Link) -> None:
         """Connect again if the other process may still run."""
-        if self.sharing.closed(link) and link.pid is not None and not self.closed:
-            task = self.loop.create_task(self._reconnect(link.pid))
+        if self.sharing.closed(link) and link.process_id is not None and not self.closed:
+            task = self.loop.create_task(self._reconnect(link.process_id))
             self.reconnecting.add(task)
             task.add_done_callback(self.reconnecting.discard)
 
-    async def _reconnect(self, pid: int) -> None:
+    async def _reconnect(self, process_id: int) -> None:
         """Link to a process again, or record that it has ended."""
-        path = self.directory / f"{SOCKET_PREFIX}{pid}{SOCKET_SUFFIX}"
-        while self.sharing.is_unlinked(pid):
+        path = self.directory / f"{SOCKET_PREFIX}{process_id}{SOCKET_SUFFIX}"
+        while self.sharing.is_unlinked(process_id):
             try:
                 link = await self._open_link(path)
             except (ConnectionRefusedError, FileNotFoundError):
                 _remove_file(path)
-                self.sharing.gone(pid)
+                self.sharing.gone(process_id)
                 return
             except (OSError, TimeoutError):
                 await asyncio.sleep(RECONNECT_INTERVAL_S)
                 continue
             await link.greeted  # also if the link has ended
-            if link.pid is None:
+            if link.process_id is None:
                 await asyncio.sleep(RECONNECT_INTERVAL_S)
 
     def close(self) -> None:
--- a/ochreflow/app/hot_restart_form.py
+++ b/ochreflow/app/hot_restart_form.py
@@ -6,8 +6,8 @@
     {"pid": PROCESS, "list": ENDPOINT_LIST, "known": KNOWN_CLIENTS, "holds": [DESCRIPTORS, CLIENTS, BYTES]}
     {"holds": [DESCRIPTORS, CLIENTS, BYTES]}
 
-ENDPOINT_LIST and KNOWN_CLIENTS may be null. Both forms may have the key "ids" at the end, see
-`request_id_messages`.
+PROCESS is a number that no other process of the sidecar has. ENDPOINT_LIST and KNOWN_CLIENTS may be null.
+Both forms may have the key "ids" at the end, see `request_id_messages`.
 """
 
 from __future__ import annotations
@@ -51,11 +51,11 @@
 
 
 def format_greeting(
-    pid: int, inheritance: Inheritance, usage: tuple[int, ...], ids: IdGreeting | None = None
+    process_id: int, inheritance: Inheritance, usage: tuple[int, ...], ids: IdGreeting | None = None
 ) -> bytes:
     """Return the first line that a process sends."""
     message: dict[str, object] = {
-        "pid": pid,
+        "pid": process_id,
         "list": inheritance.endpoint_list,
         "known": inheritance.known_clients,
         "holds": usage,
@@ -74,12 +74,12 @@
 
 
 def is_greeting(message: dict[str, Any]) -> bool:
-    """Return whether a message is a greeting, which alone has a pid."""
+    """Return whether a message is a greeting, which alone has a process id."""
     return "pid" in message
 
 
-def parse_pid(greeting: dict[str, Any]) -> int:
-    """Return the pid of the process that sent a greeting."""
+def parse_process_id(greeting: dict[str, Any]) -> int:
+    """Return the id of the process that sent a greeting."""
     return int(greeting["pid"])
 
 
--- a/ochreflow/app/hot_restart_link.py
+++ b/ochreflow/app/hot_restart_link.py
@@ -18,7 +18,7 @@
     parse_greeting_ids,
     parse_inheritance,
     parse_message_ids,
-    parse_pid,
+    parse_process_id,
     parse_usage,
 )
 from .request_id_messages import IdMessage
@@ -29,7 +29,7 @@
     """The part of `HotRestart` that its links use."""
 
     loop: asyncio.AbstractEventLoop
-    pid: int
+    process_id: int
     links: dict[Link, None]
     sharing: RequestIdSharing
 
@@ -58,7 +58,7 @@
         self.owner = owner
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
-        self.pid: int | None = None  # pid of the other process; known once its greeting has arrived
+        self.process_id: int | None = None  # of the other process; known once its greeting has come
         self.inheritance = Inheritance(None, None)
         self.usage = NO_USAGE
         self.greeted: asyncio.Future[None] = owner.loop.create_future()
@@ -71,7 +71,7 @@
         owner = self.owner
         owner.links[self] = None
         ids = owner.sharing.greeting()
-        self.write(format_greeting(owner.pid, owner.own_inheritance(), owner.own_usage(), ids))
+        self.write(format_greeting(owner.process_id, owner.own_inheritance(), owner.own_usage(), ids))
         owner.sharing.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -93,8 +93,8 @@
         """Forget the other process, however the connection has ended."""
         self.owner.links.pop(self, None)
         self._resolve_greeted()
-        if self.pid is not None:
-            log.info("hot_restart_peer_disconnected", process=self.pid)
+        if self.process_id is not None:
+            log.info("hot_restart_peer_disconnected", process=self.process_id)
         self.owner.update_others()
         self.owner.link_ended(self)
 
@@ -114,15 +114,15 @@
 
     def _apply(self, message: dict[str, Any]) -> None:
         if is_greeting(message):
-            self.pid = parse_pid(message)
+            self.process_id = parse_process_id(message)
             self.inheritance = parse_inheritance(message)
             greeting_ids = parse_greeting_ids(message)
             if greeting_ids is not None:
-                self.owner.sharing.linked(self.pid, greeting_ids, self)
-            log.info("hot_restart_peer_connected", process=self.pid)
+                self.owner.sharing.linked(self.process_id, greeting_ids, self)
+            log.info("hot_restart_peer_connected", process=self.process_id)
             self._resolve_greeted()
-        elif self.pid is not None and (ids := parse_message_ids(message)) is not None:
-            self.owner.sharing.received(self.pid, ids)
+        elif self.process_id is not None and (ids := parse_message_ids(message)) is not None:
+            self.owner.sharing.received(self.process_id, ids)
         self.usage = parse_usage(message)
         self.owner.update_others()
 
--- a/ochreflow/app/request_id_messages.py
+++ b/ochreflow/app/request_id_messages.py
@@ -1,7 +1,7 @@
 """What the processes of one sidecar tell each other of request ids: the key `ids` of their messages.
 
-In a greeting it has the start of the process and the ids that it holds, each with the pid of the process
-whose request is open (null: the sender's own, or ended) and whether the request has ended:
+In a greeting it has the start of the process and the ids that it holds, each with the id of the process whose
+request is open (null: the sender's own, or ended) and whether the request has ended:
 
     {"since": NANOSECONDS, "held": [[FRONTEND, KEY, PID, ENDED], ...]}
 
--- a/ochreflow/app/request_id_sharing.py
+++ b/ochreflow/app/request_id_sharing.py
@@ -53,9 +53,9 @@
 class RequestIdSharing:
     """Owns what this process knows of the others' request ids, and the ids that wait for an approval."""
 
-    def __init__(self, pid: int, registries: RequestIdRegistries) -> None:
+    def __init__(self, process_id: int, registries: RequestIdRegistries) -> None:
         """Begin without other processes."""
-        self.pid = pid
+        self.process_id = process_id
         self.registries = registries
         self.started_ns = monotonic_ns()
         self.peers: dict[int, Peer] = {}
@@ -72,8 +72,12 @@
             self._notify(IdMessageKind.TAKEN, frontend_id)  # a process may have linked and not greeted yet
             decided(True)  # noqa: FBT003  # the only argument
             return
-        awaited = [(peer.started_ns, pid) for pid, peer in self.peers.items() if self._is_awaited(pid)]
-        self.approvals[frontend_id] = Approval([pid for _, pid in sorted(awaited)], decided)
+        awaited = [
+            (peer.started_ns, process_id)
+            for process_id, peer in self.peers.items()
+            if self._is_awaited(process_id)
+        ]
+        self.approvals[frontend_id] = Approval([process_id for _, process_id in sorted(awaited)], decided)
         self._ask_next(frontend_id)
 
     def release(self, frontend: str, key: IdKey) -> None:
@@ -85,12 +89,14 @@
         if self.channels:
             self.ended.append(frontend_id)
 
-    def _is_older(self, pid: int) -> bool:
-        return (self.peers[pid].started_ns, pid) < (self.started_ns, self.pid)
+    def _is_older(self, process_id: int) -> bool:
+        return (self.peers[process_id].started_ns, process_id) < (self.started_ns, self.process_id)
 
-    def _is_awaited(self, pid: int) -> bool:
+    def _is_awaited(self, process_id: int) -> bool:
         """Return whether requests wait for a process: for its approval, or until it can be notified again."""
-        return pid in self.peers and (self._is_older(pid) or self.peers[pid].channel is None)
+        return process_id in self.peers and (
+            self._is_older(process_id) or self.peers[process_id].channel is None
+        )
 
     # Approvals
 
@@ -114,8 +120,8 @@
         self._answer_askers(approval, frontend_id)
 
     def _answer_askers(self, approval: Approval, frontend_id: FrontendId) -> None:
-        for pid in approval.askers:
-            self._on_ask(pid, frontend_id)
+        for process_id in approval.askers:
+            self._on_ask(process_id, frontend_id)
 
     def _notify(self, kind: IdMessageKind, *ids: FrontendId) -> None:
         """Send to all linked processes, also to those that have not greeted yet."""
@@ -137,18 +143,18 @@
         """Record a new link, on which the greeting has just been sent."""
         self.channels[channel] = None
 
-    def linked(self, pid: int, greeting: IdGreeting, channel: IdChannel) -> None:
+    def linked(self, process_id: int, greeting: IdGreeting, channel: IdChannel) -> None:
         """Record the greeting of another process, on its first link or on a further one."""
-        was_unlinked = self.is_unlinked(pid)
-        self.channels[channel] = pid
-        self.peers[pid] = Peer(greeting.started_ns, channel)
+        was_unlinked = self.is_unlinked(process_id)
+        self.channels[channel] = process_id
+        self.peers[process_id] = Peer(greeting.started_ns, channel)
         if was_unlinked:
-            self._end_unreported(pid, greeting)
+            self._end_unreported(process_id, greeting)
         for shared in greeting.held:
-            self._merge(pid, shared)
-        self._ask_again(pid)
+            self._merge(process_id, shared)
+        self._ask_again(process_id)
 
-    def _end_unreported(self, pid: int, greeting: IdGreeting) -> None:
+    def _end_unreported(self, process_id: int, greeting: IdGreeting) -> None:
         """End the requests of a process that ended while it had no link."""
         for frontend, registry in self.registries.by_frontend.items():
             still_open = {
@@ -156,91 +162,93 @@
                 for shared in greeting.held
                 if shared.frontend == frontend and shared.held.owner is None and not shared.held.ended
             }
-            registry.end_others_of(pid, still_open)
+            registry.end_others_of(process_id, still_open)
 
-    def _merge(self, pid: int, shared: SharedId) -> None:
-        owner = pid if shared.held.owner is None else shared.held.owner
-        if owner == self.pid:
+    def _merge(self, process_id: int, shared: SharedId) -> None:
+        owner = process_id if shared.held.owner is None else shared.held.owner
+        if owner == self.process_id:
             return
         frontend_id = FrontendId(shared.frontend, shared.held.key)
-        if frontend_id in self.approvals and self._is_older(pid):
+        if frontend_id in self.approvals and self._is_older(process_id):
             self._decide(frontend_id, approved=False)  # it had the id first, and may end before it denies it
         self.registries.of(shared.frontend).merge(shared.held, owner)
 
     def closed(self, channel: IdChannel) -> bool:
         """Record that a link has ended; return whether its process has no other one, and may still run."""
-        pid = self.channels.pop(channel, None)
-        peer = self.peers.get(pid) if pid is not None else None
-        if pid is None or peer is None or peer.channel is not channel:
+        process_id = self.channels.pop(channel, None)
+        peer = self.peers.get(process_id) if process_id is not None else None
+        if process_id is None or peer is None or peer.channel is not channel:
             return False
-        peer.channel = next((other for other, owner in self.channels.items() if owner == pid), None)
+        peer.channel = next((other for other, owner in self.channels.items() if owner == process_id), None)
         if peer.channel is not None:
-            self._ask_again(pid)
+            self._ask_again(process_id)
         return peer.channel is None
 
-    def is_unlinked(self, pid: int) -> bool:
+    def is_unlinked(self, process_id: int) -> bool:
         """Return whether a process takes part that has no link at present."""
-        peer = self.peers.get(pid)
+        peer = self.peers.get(process_id)
         return peer is not None and peer.channel is None
 
-    def _ask_again(self, pid: int) -> None:
+    def _ask_again(self, process_id: int) -> None:
         """Go on with the approvals that wait for a process."""
         for frontend_id, approval in list(self.approvals.items()):
-            if self.approvals.get(frontend_id) is approval and approval.remaining[0] == pid:
+            if self.approvals.get(frontend_id) is approval and approval.remaining[0] == process_id:
                 self._ask_next(frontend_id)
 
-    def gone(self, pid: int) -> None:
+    def gone(self, process_id: int) -> None:
         """Record that a process has ended."""
-        if self.peers.pop(pid, None) is None:
+        if self.peers.pop(process_id, None) is None:
             return
         for registry in self.registries.by_frontend.values():
-            registry.end_others_of(pid, still_open=())
-        self._ask_again(pid)
+            registry.end_others_of(process_id, still_open=())
+        self._ask_again(process_id)
 
-    def received(self, pid: int, message: IdMessage) -> None:
+    def received(self, process_id: int, message: IdMessage) -> None:
         """Handle a message of another process."""
         for frontend_id in message.ids:
             match message.kind:
                 case IdMessageKind.ASK:
-                    self._on_ask(pid, frontend_id)
+                    self._on_ask(process_id, frontend_id)
                 case IdMessageKind.APPROVED:
-                    self._on_approved(pid, frontend_id)
+                    self._on_approved(process_id, frontend_id)
                 case IdMessageKind.DENIED:
-                    self._on_denied(pid, frontend_id)
+                    self._on_denied(process_id, frontend_id)
                 case IdMessageKind.TAKEN:
-                    self._on_taken(pid, frontend_id)
+                    self._on_taken(process_id, frontend_id)
                 case IdMessageKind.ENDED:
-                    self.registries.of(frontend_id.frontend).end_remote(frontend_id.key, pid)
+                    self.registries.of(frontend_id.frontend).end_remote(frontend_id.key, process_id)
 
-    def _on_ask(self, pid: int, frontend_id: FrontendId) -> None:
+    def _on_ask(self, process_id: int, frontend_id: FrontendId) -> None:
         approval = self.approvals.get(frontend_id)
         if approval is not None:  # answered when the older processes have decided
-            approval.askers.append(pid)
+            approval.askers.append(process_id)
             return
-        peer = self.peers.get(pid)
+        peer = self.peers.get(process_id)
         if peer is None or peer.channel is None:
             return  # it asks again when it is linked again
         registry = self.registries.of(frontend_id.frontend)
         # A process asks again if its link broke before the answer.
-        approved = registry.owners.get(frontend_id.key) == pid or registry.grant(frontend_id.key, pid)
+        approved = registry.owners.get(frontend_id.key) == process_id or registry.grant(
+            frontend_id.key, process_id
+        )
         kind = IdMessageKind.APPROVED if approved else IdMessageKind.DENIED
         peer.channel.send_ids(IdMessage(kind, (frontend_id,)))
 
-    def _on_approved(self, pid: int, frontend_id: FrontendId) -> None:
+    def _on_approved(self, process_id: int, frontend_id: FrontendId) -> None:
         approval = self.approvals.get(frontend_id)
-        if approval is not None and approval.remaining[0] == pid:
+        if approval is not None and approval.remaining[0] == process_id:
             del approval.remaining[0]
             self._ask_next(frontend_id)
 
-    def _on_denied(self, pid: int, frontend_id: FrontendId) -> None:
+    def _on_denied(self, process_id: int, frontend_id: FrontendId) -> None:
         approval = self.approvals.get(frontend_id)
-        if approval is not None and approval.remaining[0] == pid:
+        if approval is not None and approval.remaining[0] == process_id:
             self._decide(frontend_id, approved=False)
 
-    def _on_taken(self, pid: int, frontend_id: FrontendId) -> None:
+    def _on_taken(self, process_id: int, frontend_id: FrontendId) -> None:
         if frontend_id in self.approvals:
             self._decide(frontend_id, approved=False)  # it had the id first, and may end before it denies it
-        self.registries.of(frontend_id.frontend).grant(frontend_id.key, pid)
+        self.registries.of(frontend_id.frontend).grant(frontend_id.key, process_id)
 
     # Called by the timer
 
@@ -254,5 +262,5 @@
             approval.ticks += 1
             if approval.ticks == UNRESPONSIVE_TICKS:
                 unresponsive.add(approval.remaining[0])
-        for pid in unresponsive:
-            log.warning("hot_restart_peer_unresponsive", process=pid)
+        for process_id in unresponsive:
+            log.warning("hot_restart_peer_unresponsive", process=process_id)
--- a/ochreflow/core/log.py
+++ b/ochreflow/core/log.py
@@ -33,6 +33,7 @@
     "reload_rejected": "reload rejected, the configuration is unchanged: {reason}",
     "reload_applied": "reload applied: {changed}",
     "hot_restart_unavailable": "other processes of this sidecar can't be found: {reason}",
+    "hot_restart_available": "process {pid} is {process} to the other processes of this sidecar",
     "hot_restart_message_invalid": "invalid message from another process: its connection is closed",
     "hot_restart_peer_connected": "process {process} serves beside this one",
     "hot_restart_peer_disconnected": "process {process} is gone",
--- a/ochreflow/core/request_ids.py
+++ b/ochreflow/core/request_ids.py
@@ -32,7 +32,7 @@
     """An id that may not be reused, as told to another process of this sidecar."""
 
     key: IdKey
-    owner: int | None  # pid of the other process whose request is open; None: this one's, or ended
+    owner: int | None  # id of the other process whose request is open; None: this one's, or ended
     ended: bool
 
 
@@ -48,7 +48,7 @@
         """Begin with no ids in use; those of ended requests count in `memory`."""
         self.memory = memory
         self.in_use: set[IdKey] = set()
-        self.owners: dict[IdKey, int] = {}  # pid of the process that has the open request, if not this one
+        self.owners: dict[IdKey, int] = {}  # id of the process that has the open request, if another
         self.ended: deque[tuple[float, IdKey]] = deque()  # end time in seconds and id, oldest first
 
     def is_held(self, request_id: Hashable) -> bool:
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -40,11 +40,11 @@
 
 
 @contextlib.asynccontextmanager
-async def process(shared_dir, pid, endpoint_list=None):
+async def process(shared_dir, process_id, endpoint_list=None):
     """One process of a sidecar: its `HotRestart`, and the endpoint list that it inherited."""
     inheritance = Inheritance(endpoint_list, None)
     loop = asyncio.get_running_loop()
-    hot_restart = HotRestart(loop, str(shared_dir), usage(), lambda: inheritance, pid)
+    hot_restart = HotRestart(loop, str(shared_dir), usage(), lambda: inheritance, process_id)
     inherited = await hot_restart.start()
     try:
         yield hot_restart, inherited
@@ -79,6 +79,50 @@
     run(scenario())
 
 
+def test_two_processes_with_the_same_pid_are_told_apart(tmp_path, monkeypatch):
+    """Guards against a process that removes the socket of one with its pid, as in two pid namespaces."""
+    monkeypatch.setattr("os.getpid", lambda: 1)
+
+    async def scenario():
+        async with process(tmp_path, None, {"index": 5}) as (old, _):
+            assert await claim(old, "open")
+            async with process(tmp_path, None) as (new, inherited):
+                assert inherited == {"index": 5}
+                assert old.processes == new.processes == 1
+                assert not await claim(new, "open")
+            await wait_until(lambda: old.processes == 0)
+
+    run(scenario())
+
+
+def test_a_process_with_the_pid_of_one_that_has_ended_is_not_taken_for_it(tmp_path, monkeypatch):
+    """Guards against ids that stay in use, or are free too early, since their owner seems to run on."""
+    monkeypatch.setattr("os.getpid", lambda: 7)
+
+    async def scenario():
+        async with process(tmp_path, None) as (old, _):
+            async with process(tmp_path, None) as (first, _):
+                assert await claim(first, "open")
+                await wait_until(lambda: not old.sharing.registries.of("http").claim(b"open"))
+            async with process(tmp_path, None) as (second, _):
+                await wait_until(lambda: old.processes == second.processes == 1)
+                registry = old.sharing.registries.of("http")
+                assert second.process_id != first.process_id
+                await wait_until(lambda: not registry.owners)
+                assert not await claim(second, "open")  # for as long as the id of an ended request is kept
+
+    run(scenario())
+
+
+async def claim(hot_restart, key):
+    """Return whether a process may use a request id."""
+    decided = asyncio.get_running_loop().create_future()
+    if not hot_restart.sharing.registries.of("http").claim(key.encode()):
+        return False
+    hot_restart.sharing.claim("http", key, decided.set_result)
+    return await asyncio.wait_for(decided, 2.0)
+
+
 def test_stale_socket_files_and_invalid_greetings_are_ignored(tmp_path):
     """Guards against a start that fails on a killed process's socket, another file or an invalid greeting."""
 
--- a/tests/test_request_id_sharing.py
+++ b/tests/test_request_id_sharing.py
@@ -98,10 +98,10 @@
 
 
 @contextlib.asynccontextmanager
-async def linked_process(shared_dir, pid):
+async def linked_process(shared_dir, process_id):
     loop = asyncio.get_running_loop()
     hot_restart = HotRestart(
-        loop, str(shared_dir), usage(), lambda: Inheritance(None, None), pid, RequestIdRegistries()
+        loop, str(shared_dir), usage(), lambda: Inheritance(None, None), process_id, RequestIdRegistries()
     )
     await hot_restart.start()
     try:
@@ -314,7 +314,7 @@
 async def test_the_end_of_a_request_that_a_broken_link_did_not_tell_is_noticed(old, new):
     """Guards against ids that stay in use, and in memory, for as long as their process runs."""
     for one, other in ((old, new), (new, old)):
-        key = f"of {one.sharing.pid}"
+        key = f"of {one.sharing.process_id}"
         assert await one.decide(key)
         await wait_until(lambda other=other, key=key: key in other.registry.owners)
         one.break_links()
@@ -461,9 +461,9 @@
         back = self.wires[1 - self.wires.index(wire)]
         message = wire.messages.pop(0)
         if hasattr(message, "kind"):
-            wire.receiver.sharing.received(wire.sender.sharing.pid, message)
+            wire.receiver.sharing.received(wire.sender.sharing.process_id, message)
         else:
-            wire.receiver.sharing.linked(wire.sender.sharing.pid, message, back)
+            wire.receiver.sharing.linked(wire.sender.sharing.process_id, message, back)
 
     def break_off(self, *, delivered):
         """End the link; what was sent is delivered first, as for a killed process, or lost."""
@@ -496,8 +496,8 @@
     @rule()
     def start_process(self):
         self.started += 1
-        pid = (self.started * 7) % 11 + self.started  # not in the order of the starts
-        process = SidecarProcess(RequestIdSharing(pid, RequestIdRegistries()))
+        process_id = (self.started * 7) % 11 + self.started  # not in the order of the starts
+        process = SidecarProcess(RequestIdSharing(process_id, RequestIdRegistries()))
         process.sharing.started_ns = self.started
         process.alive = True
         for other in self.processes:
@@ -571,8 +571,8 @@
                 if wire.sender is not process:
                     wire.sender.sharing.closed(wire)
         for other in self.processes:
-            if other.sharing.is_unlinked(process.sharing.pid):
-                other.sharing.gone(process.sharing.pid)
+            if other.sharing.is_unlinked(process.sharing.process_id):
+                other.sharing.gone(process.sharing.process_id)
         self._record(process)
 
     def _record(self, process):
