Log why memory refuses a message, show the budget, and test crowds in upgrades and shutdowns

Crowds were not played beside an upgrade or after SIGTERM.

Change: events `memory_exhausted`, `stalled_message_ended`, `response_due_unread`; figures `app.memory.reserved`, `max_reserved` and `overhead`. Crowds run in a process of their own, so that they delay no usual client of the test.

--- a/ochreflow/core/engine.py
+++ b/ochreflow/core/engine.py
@@ -176,6 +176,9 @@
             outstanding=len(self.requests.pending),
             discovered=len(self.endpoints.listed),
             ejected=len(self.balancer.endpoints.ejected),
+            reserved_bytes=self.memory.reserved_bytes,
+            max_reserved_bytes=self.memory.max_bytes,
+            overhead_bytes=self.memory.overhead_bytes,
         )
         return render(self.stats, gauges)
 
--- a/ochreflow/core/limits.py
+++ b/ochreflow/core/limits.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from .log import log
+
 MB = 1024 * 1024  # bytes
 
 
@@ -137,20 +139,30 @@
         """
         while size > self.free_bytes:
             if not any(evict() for evict in self.evictors):
+                self._log_exhausted("a complete message", size)
                 return False
         self.reserved_bytes += size
         return True
 
     def reserve_incomplete(self, size: int) -> bool:
         """Reserve `size` bytes for a message that is incomplete; return False if they are not left."""
-        while (
-            self.reserved_bytes + self.others_reserved_bytes + size > self.max_bytes * self.INCOMPLETE_SHARE
-        ):
+        while self.free_bytes - size < self.max_bytes * (1 - self.INCOMPLETE_SHARE):
             if not any(evict() for evict in self.evictors):
+                self._log_exhausted("an incomplete message", size)
                 return False
         self.reserved_bytes += size
         return True
 
+    def _log_exhausted(self, purpose: str, size: int) -> None:
+        log.warning(
+            "memory_exhausted",
+            purpose=purpose,
+            size=size,
+            reserved=self.reserved_bytes,
+            allowed=self.max_bytes,
+            overhead=self.overhead_bytes,
+        )
+
     def charge(self, size: int) -> None:
         """Count `size` bytes that are in use, whatever is left."""
         self.reserved_bytes += size
--- a/ochreflow/core/log.py
+++ b/ochreflow/core/log.py
@@ -40,6 +40,12 @@
     "hot_restart_peer_unresponsive": "process {process} does not answer: requests wait for it",
     "accept_paused": "no file descriptor left ({reason}): {closed} idle connections closed, "
     "accepting paused for {seconds} s",
+    "memory_exhausted": "no memory left for {size} bytes of {purpose}: {reserved} of {allowed} bytes are "
+    "reserved",
+    "stalled_message_ended": "an incomplete message of {size} bytes has stalled and is ended: memory is "
+    "short",
+    "response_due_unread": "request {request} is answered although its body may not have been read to its "
+    "end",
     "connection_rejected": "connection from {address} rejected: {reason}",
     "unrequested_data": "server at {host}:{port} sent data that belongs to no request: {state}",
     "event_loop_delayed": "the event loop ran a timer {late_s} s late",
--- a/ochreflow/core/request_manager.py
+++ b/ochreflow/core/request_manager.py
@@ -246,6 +246,8 @@
         now_ns = self.clock.now()
         body_complete = pending.request.body.complete
         if body_complete or pending.request.earliest_deadline_ns(now_ns) - WATCHDOG_MARGIN_NS <= now_ns:
+            if not body_complete:
+                _log_due_unread(pending)
             self._time_out(pending)
         else:
             self._start_watchdog(pending)
@@ -272,6 +274,16 @@
                 )
 
 
+def _log_due_unread(pending: PendingRequest) -> None:
+    body = pending.request.body
+    log.info(
+        "response_due_unread",
+        request=format_request_id(pending.request),
+        received=body.size,
+        length=body.length,
+    )
+
+
 def _log_final_response(
     frontend_binding: FrontendBinding, request: IncomingRequest, response: FinalResponse
 ) -> None:
--- a/ochreflow/core/stats.py
+++ b/ochreflow/core/stats.py
@@ -25,6 +25,9 @@
     outstanding: int  # requests accepted and not yet ended
     discovered: int  # servers in the endpoint list
     ejected: int  # listed servers that the balancer has ejected
+    reserved_bytes: int  # memory reserved for messages
+    max_reserved_bytes: int  # as many may be reserved at present
+    overhead_bytes: int  # memory of connections, open requests and request ids
 
 
 class Stats:
@@ -68,5 +71,8 @@
         f"app.outstanding={gauges.outstanding}",
         f"app.discovered={gauges.discovered}",
         f"app.ejected={gauges.ejected}",
+        f"app.memory.reserved={gauges.reserved_bytes}",
+        f"app.memory.max_reserved={gauges.max_reserved_bytes}",
+        f"app.memory.overhead={gauges.overhead_bytes}",
     ]
     return "\n".join(lines) + "\n"
--- a/ochreflow/http/clients.py
+++ b/ochreflow/http/clients.py
@@ -293,6 +293,7 @@
             if received_at > stalled_before:
                 return False
             if client.message_size and not (client.paused or client.parsing):
+                log.info("stalled_message_ended", size=client.message_size)
                 self._forget(client)
                 client.expire()
                 return True
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -9,8 +9,11 @@
 import asyncio
 import contextlib
 import itertools
+import os
 import random
+import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
@@ -18,7 +21,7 @@
 from pathlib import Path
 
 from net_helpers import HOST, config, endpoint_update, entry, http_request, read_message
-from test_process import Process
+from test_process import ROOT, Process
 
 KB = 1024
 USUAL_PER_SECOND = 20
@@ -31,6 +34,7 @@
 SLOW_BODY_BYTES_PER_S = 64_000
 LONG_ANSWER_BYTES = 1_000_000
 STEP_S = 0.25
+SHUTDOWN_S = 2.5  # from SIGTERM on, less than a process takes that has open requests
 ids = itertools.count()
 
 
@@ -319,20 +323,25 @@
 
     def __init__(self, sidecar, result):
         self.sidecar, self.result = sidecar, result
-        self.tasks = set()
+        self.process = None
 
     def start(self, names, count):
-        rows = [ROWS[name] for name in names]
-        for number in range(count):
-            row = rows[number % len(rows)]
-            client = Client(self.sidecar.port, row.act, row.receive_buffer)
-            self.tasks.add(asyncio.create_task(client.run()))
+        """Start the clients in a process of their own, so that they delay no usual client."""
+        arguments = [
+            sys.executable,
+            __file__,
+            "--port",
+            str(self.sidecar.port),
+            "--clients",
+            str(count),
+            *names,
+        ]
+        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+        self.process = subprocess.Popen(arguments, env=environment, stderr=subprocess.DEVNULL)
 
     async def stop(self):
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-        self.tasks.clear()
+        self.process.kill()
+        self.process.wait()
 
     async def usual(self, seconds):
         """Send usual requests, each on a connection of its own."""
@@ -374,6 +383,20 @@
         self.result.longest_s = max(self.result.longest_s, time.monotonic() - began)
 
 
+async def run_clients(names, port, count):
+    """Play clients of these rows until killed, or until the parent process has ended."""
+    rows = [ROWS[name] for name in names]
+    clients = [
+        Client(port, rows[n % len(rows)].act, rows[n % len(rows)].receive_buffer) for n in range(count)
+    ]
+    tasks = [asyncio.create_task(client.run()) for client in clients]
+    parent = os.getppid()
+    while os.getppid() == parent:
+        await asyncio.sleep(1.0)
+    for task in tasks:
+        task.cancel()
+
+
 async def start_servers(count=4):
     loop = asyncio.get_running_loop()
     servers = [await loop.create_server(Server, HOST, 0, backlog=1024) for _ in range(count)]
@@ -382,8 +405,53 @@
     return endpoint_update(1, *entries)
 
 
-async def play(names, memory_mb, clients=470, seconds=6.0, crowds=1):
-    """Play crowds of these rows one after another; return what was measured."""
+class Upgrade:
+    """Processes of one sidecar, which share the clients' socket and `$TMPDIR`."""
+
+    def __init__(self, directory, data):
+        self.directory, self.data = Path(directory), data
+        self.listening = socket.create_server((HOST, 0), backlog=1024)
+        self.port = self.listening.getsockname()[1]
+        self.peak_mb = 0.0  # of all processes together
+
+    def process(self, name):
+        return Process(self.directory / name, self.data, inherited=self.listening, shared_dir=self.directory)
+
+    async def watch(self, *processes):
+        """Note the sum of the resident memory of the processes that run."""
+        while True:
+            with contextlib.suppress(OSError, StopIteration):
+                total = sum(resident_mb(process.process.pid, "VmRSS") for process in processes)
+                self.peak_mb = max(self.peak_mb, total)
+            await asyncio.sleep(LAG_INTERVAL_S)
+
+
+async def play_upgrade(names, memory_mb, clients=470, seconds=3.0):
+    """Let a second process take over under a crowd; return what was measured, the peak of both together."""
+    result = Result()
+    data = config(await start_servers())
+    data["limits"] = {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024}
+    with tempfile.TemporaryDirectory(dir="/tmp") as directory:
+        upgrade = Upgrade(directory, data)
+        async with upgrade.process("old") as old:
+            crowd = Crowd(upgrade, result)
+            crowd.start(names, clients)
+            await crowd.usual(seconds)
+            async with upgrade.process("new") as new:
+                watch = asyncio.create_task(upgrade.watch(old, new))
+                await crowd.usual(seconds)
+                old.process.send_signal(signal.SIGTERM)
+                await crowd.usual(seconds)
+                await crowd.stop()
+                watch.cancel()
+                assert new.process.returncode is None
+        upgrade.listening.close()
+        result.peak_mb = upgrade.peak_mb
+    return result
+
+
+async def play(names, memory_mb, clients=470, seconds=6.0, crowds=1, terminated=False):
+    """Play crowds of these rows one after another, the last one after SIGTERM too if `terminated`."""
     result = Result()
     data = config(await start_servers())
     data["limits"] = {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024}
@@ -396,6 +464,11 @@
             for _ in range(crowds):
                 crowd.start(names, clients)
                 await crowd.usual(seconds)
+                if not terminated:
+                    await crowd.stop()
+            if terminated:
+                sidecar.process.send_signal(signal.SIGTERM)
+                await asyncio.sleep(SHUTDOWN_S)
                 await crowd.stop()
             result.peak_mb = resident_mb(pid)
             assert sidecar.process.returncode is None
@@ -409,7 +482,11 @@
     parser.add_argument("--clients", type=int, default=470)
     parser.add_argument("--seconds", type=float, default=6.0)
     parser.add_argument("--crowds", type=int, default=1)
+    parser.add_argument("--port", type=int, help="play the clients only, at this port")
     options = parser.parse_args()
+    if options.port:
+        asyncio.run(run_clients(options.rows, options.port, options.clients))
+        return
     for name in options.rows or [*ROWS, "mixed"]:
         names = list(ROWS) if name == "mixed" else [name]
         result = asyncio.run(play(names, options.memory, options.clients, options.seconds, options.crowds))
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -57,7 +57,9 @@
     stats.add_frontend("http")
     stats.ended(1, Disposition.DECLINED, stats.add_frontend("lines"))
     stats.forwarded()
-    assert render(stats, Gauges(outstanding=3, discovered=2, ejected=1)).splitlines() == [
+    assert render(
+        stats, Gauges(3, 2, 1, reserved_bytes=5, max_reserved_bytes=6, overhead_bytes=7)
+    ).splitlines() == [
         "app.results.a.succeeded=0",
         "app.results.a.declined=0",
         "app.results.a.aborted=0",
@@ -74,6 +76,9 @@
         "app.outstanding=3",
         "app.discovered=2",
         "app.ejected=1",
+        "app.memory.reserved=5",
+        "app.memory.max_reserved=6",
+        "app.memory.overhead=7",
     ]
 
 
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -7,7 +7,7 @@
 import asyncio
 
 import pytest
-from crowd import ROWS, USUAL_PER_SECOND, play
+from crowd import ROWS, USUAL_PER_SECOND, play, play_upgrade
 
 pytestmark = pytest.mark.xdist_group("processes")
 
@@ -48,3 +48,14 @@
 def test_mixed_crowds_one_after_another_keep_the_process_under_its_memory(memory_mb):
     """What is freed after one crowd is used again by the next."""
     check(asyncio.run(play(list(ROWS), memory_mb, CLIENTS, SECONDS, crowds=2)), memory_mb)
+
+
+def test_a_crowd_during_a_shutdown_keeps_the_process_under_its_memory():
+    """Clients send on open connections after SIGTERM."""
+    check(asyncio.run(play(list(ROWS), LEAST_MEMORY_MB, CLIENTS, SECONDS, terminated=True)), LEAST_MEMORY_MB)
+
+
+@pytest.mark.parametrize("memory_mb", [48, 64, 96])
+def test_two_processes_of_an_upgrade_together_stay_under_the_memory_of_one_sidecar(memory_mb):
+    """OPERATION: the limit sees one sidecar. The least limit here holds two processes at rest."""
+    check(asyncio.run(play_upgrade(list(ROWS), memory_mb, CLIENTS, SECONDS)), memory_mb)
