Crowd some runs of the soak with clients that make the process hold memory

Change: in three of ten runs without idle clients, 300 clients of six rows of tests/crowd.py send beside the usual ones, the limit is 32 MB, and the peak of the process is checked in every run. Draws of the other runs stay as they were.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,7 +1,8 @@
 """A soak of sidecar processes: signals, failing discovery, drains and restarts, up to SIGKILL.
 
 Each seed draws one run of about 20 s: deadlines, the drain grace, how servers and discovery fail, when SIGHUP
-comes in series, whether idle clients crowd the descriptors. At the end SIGTERM is sent, clients go on using
+comes in series, whether idle clients crowd the descriptors, or others the least memory that a sidecar may
+have (`crowd.py`). At the end SIGTERM is sent, clients go on using
 their open connections, and SIGKILL follows at the earliest time that the protocol allows. The checks are
 those of the protocol: each request gets one final answer in time, none that may not be repeated is, no new
 work goes to a draining server after its grace, and the process neither crashes nor logs an internal error. A
@@ -24,6 +25,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+import crowd
 import uvloop
 from net_helpers import (
     HOST,
@@ -49,6 +51,18 @@
 CLIENTS = 10
 CROWD = 200  # idle connections
 CROWD_DESCRIPTORS = 256
+HEAVY_CROWD_SHARE = 0.3  # of the runs without a crowd of idle clients
+HEAVY_CROWD = 300  # clients that make the process hold memory
+LEAST_MEMORY_MB = 32
+# What they do; none keeps requests open at servers, which the decision module would take for overload.
+HEAVY_ROWS = (
+    "heads of 250 fields of 120 bytes",
+    "heads of one line",
+    "heads that come slowly",
+    "bodies at 64 kB a second",
+    "halves of bodies in chunks",
+    "bodies that are almost complete",
+)
 LAG_INTERVAL_S = 0.01
 CLASSES = ("lookup", "hold", "order")
 UNSAFE = "order"
@@ -206,6 +220,7 @@
         self.deadline_s = self.rng.choice((0.3, 1.0, 3.0))
         self.grace_s = self.rng.choice((0.5, 2.5))
         self.crowded = self.rng.random() < 0.25
+        self.heavily_crowded = not self.crowded and random.Random(seed).random() < HEAVY_CROWD_SHARE
         self.changed, self.index = asyncio.Event(), 1
         self.next_request = 0
         self.unsafe_ids = set()
@@ -224,9 +239,15 @@
             tasks += [asyncio.create_task(self.client()) for _ in range(CLIENTS)]
             if self.crowded:
                 tasks += [asyncio.create_task(self.idle_client()) for _ in range(CROWD)]
+            heavy_crowd = crowd.Crowd(self.sidecar, None)
+            if self.heavily_crowded:
+                heavy_crowd.start(HEAVY_ROWS, HEAVY_CROWD)
             await self.events()
+            self.check_memory()
             await self.terminate()
             self.ended = True
+            if self.heavily_crowded:
+                await heavy_crowd.stop()
             lines = await self.sidecar.all_lines()
         for task in tasks:
             task.cancel()
@@ -245,8 +266,16 @@
             request_class["deadline-ns"] = int(self.deadline_s * 1000) * MS
         if self.crowded:
             data["limits"]["sockets"] = CROWD_DESCRIPTORS
+        if self.heavily_crowded:
+            data["limits"]["memory_mb"] = LEAST_MEMORY_MB
         return data
 
+    def check_memory(self):
+        """Check that the process has never been over its limit."""
+        peak_mb, limit_mb = crowd.resident_mb(self.sidecar.process.pid), self.data["limits"]["memory_mb"]
+        if peak_mb > limit_mb:
+            self.record.violations.append(f"memory: {peak_mb:.1f} of {limit_mb} MB")
+
     async def watch_lag(self):
         while True:
             begin = self.loop.time()
