Test that responses are forwarded completely although no memory is left

Cause: each part of a response reserved memory, also where it was relayed at once, and a response for which there was none counted as broken.

Change: two tests, a response of 30 kB and one of 300 kB that are written in ten parts while no byte of the budget is left. The first 2 KiB of a head count as part of the open request. Connections whose transport is yet to be created count as connected, so that a process that ends does not leave them.

--- a/ochreflow/http/frontend.py
+++ b/ochreflow/http/frontend.py
@@ -56,8 +56,8 @@
 
     @property
     def connected(self) -> int:
-        """The number of clients that are connected."""
-        return len(self.clients.connections)
+        """The number of clients that are connected, with those whose transport is yet to be created."""
+        return len(self.clients.connections) + len(self.clients.admitted)
 
     def stop_accepting(self) -> None:
         """Close the listening sockets."""
--- a/ochreflow/http/response.py
+++ b/ochreflow/http/response.py
@@ -18,6 +18,7 @@
 
 MAX_HEADERS_BYTES = 32 * 1024  # limit for a response's head and the framing of its body
 MAX_HEADER_LINES = 256
+SHORT_HEAD_BYTES = 2 * 1024  # bytes of a head that count as part of the open request
 MAX_FRAMING_BYTES = 32 * 1024  # chunk extensions or trailer without a byte of body in between
 MAX_PARTS = 256  # parts of a body that are kept before they are joined
 MAX_RELAYED_BODY_BYTES = 40 * 1024 * 1024  # the longest responses have 32 MB
@@ -80,6 +81,7 @@
         self._buffer_limit = buffer_limit
         self._may_relay = may_relay
         self._size = 0  # bytes received for this request
+        self._head_bytes = 0  # of these, bytes received before the body began
         self._relayed = 0  # bytes of the body that have been taken out
         self._discarded = 0  # bytes of the body of an unsuccessful response
         self._framing_bytes = 0  # bytes received since the last byte of the body
@@ -131,10 +133,14 @@
         return True
 
     def _reserve_head(self, size: int) -> bool:
-        """Reserve memory for a part of the head; return False if it is not left."""
-        if not self._memory.reserve(size):
+        """Reserve memory for a part of a long head; return False if it is not left."""
+        self._head_bytes += size
+        missing = self._head_bytes - SHORT_HEAD_BYTES - self._reserved_head
+        if missing <= 0:
+            return True
+        if not self._memory.reserve(missing):
             return False
-        self._reserved_head += size
+        self._reserved_head += missing
         return True
 
     @property
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -521,3 +521,31 @@
     assert sink.parts == [b"abc", b"end"]
     body.discard()
     assert body.add(b"more") and memory.reserved_bytes == 0
+
+
+@pytest.mark.parametrize("size", [30_000, 300_000])
+def test_a_response_is_forwarded_completely_although_no_memory_is_left(tmp_path, size):
+    """Crowds of other clients used up the memory, and long responses were cut off (issue 49)."""
+
+    async def scenario():
+        async def slowly(reader, writer):
+            await memory_taken.wait()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+            for _ in range(10):
+                writer.write(bytes(size // 10))
+                await asyncio.sleep(0.1)
+
+        memory_taken = asyncio.Event()
+        async with sidecar_before(tmp_path, await Server(slowly).start()) as sidecar:
+            memory = sidecar.engine.memory
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(http_request("lookup"))
+            await wait_until(lambda: sidecar.engine.attempts.in_flight)
+            taken = memory.max_bytes - memory.reserved_bytes
+            memory.charge(taken)
+            memory_taken.set()
+            assert len((await read_message(reader)).body) == size
+            memory.release(taken)
+            writer.close()
+
+    run(scenario())
