Count a response's body once where it arrives together with its head

Cause: data that held the end of a head was reserved as a head, its body included, and the body once more.

Change: of a head that has ended only its lines are reserved. Parts of a response that is relayed are counted, not reserved, so that each does not log that no memory is left. The test has a third case, a response in one piece.

--- a/ochreflow/http/response.py
+++ b/ochreflow/http/response.py
@@ -107,10 +107,7 @@
     def feed(self, data: bytes) -> None:
         """Parse received data; the response may be `complete` or `invalid` afterwards."""
         self._size += len(data)
-        if not self._in_body and not self._reserve_head(len(data)):
-            self.invalid = True
-            return
-        body_size = self._received_body
+        in_head, body_size = not self._in_body, self._received_body
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -118,6 +115,8 @@
                 self.invalid = True
             else:
                 self._note_surplus()
+        if in_head and self.complete is None and not self._reserve_head(len(data)):
+            self.invalid = True
         has_body_part = self._received_body > body_size
         self._framing_bytes = 0 if has_body_part else self._framing_bytes + len(data)
         if self.complete is None and (
@@ -133,8 +132,8 @@
         return True
 
     def _reserve_head(self, size: int) -> bool:
-        """Reserve memory for a part of a long head; return False if it is not left."""
-        self._head_bytes += size
+        """Reserve memory for a long head that goes on with `size` bytes; return False if none is left."""
+        self._head_bytes = len(self._header_lines) if self._in_body else self._head_bytes + size
         missing = self._head_bytes - SHORT_HEAD_BYTES - self._reserved_head
         if missing <= 0:
             return True
@@ -285,10 +284,11 @@
 
     def _reserve_body(self, size: int) -> bool:
         """Reserve memory for a part of the body; without memory left, a successful one has to be relayed."""
-        if not self._memory.reserve(size):
+        if self.relaying:
+            self._memory.charge(size)  # the part leaves the parser before the next one arrives
+        elif not self._memory.reserve(size):
             if not self._may_relay or self._parser.get_status_code() != OK:
                 return False
-            # The part leaves the parser before the next one arrives.
             self._out_of_memory = True
             self._memory.charge(size)
         self._reserved += size
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -523,17 +523,18 @@
     assert body.add(b"more") and memory.reserved_bytes == 0
 
 
-@pytest.mark.parametrize("size", [30_000, 300_000])
-def test_a_response_is_forwarded_completely_although_no_memory_is_left(tmp_path, size):
+@pytest.mark.parametrize(("size", "parts"), [(30_000, 10), (300_000, 10), (30_000, 1)])
+def test_a_response_is_forwarded_completely_although_no_memory_is_left(tmp_path, size, parts):
     """Crowds of other clients used up the memory, and long responses were cut off (issue 49)."""
 
     async def scenario():
         async def slowly(reader, writer):
             await memory_taken.wait()
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
-            for _ in range(10):
-                writer.write(bytes(size // 10))
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
+            writer.write(head + bytes(size // parts))
+            for _ in range(parts - 1):
                 await asyncio.sleep(0.1)
+                writer.write(bytes(size // parts))
 
         memory_taken = asyncio.Event()
         async with sidecar_before(tmp_path, await Server(slowly).start()) as sidecar:
