Close no client that may just have sent its request when accept() fails

What callers saw: a connection is reset while accept() returns EMFILE or ENFILE for a moment.

A close over unread bytes resets the connection.

Evictions for attempts and for the quota are as they were.

--- a/ochreflow/http/clients.py
+++ b/ochreflow/http/clients.py
@@ -311,29 +311,43 @@
             self.admission.is_known(now, client) for client in self._evictable()
         ):
             return False
-        return self.evict_one()
+        return self._evict(1, spare_recent=True) > 0
 
-    def _evictable(self) -> Iterable[Client]:
-        """Return the connections without a pending response, the oldest first."""
+    def _evictable(self, *, spare_recent: bool = False) -> Iterable[Client]:
+        """Return the connections without a pending response, the oldest first.
+
+        With `spare_recent`, those are left out whose client is sending, or may just have sent its request.
+        """
+        now = monotonic()
         closable = (client for client in self.idle if client.closable)
         return chain(
             (client for client in self.draining if not client.serving),
             closable,
-            (client for client in self.last_received if not client.serving),
+            (
+                client
+                for client, received_at in self.last_received.items()
+                if not client.serving and not (spare_recent and self._is_recent(client, now - received_at))
+            ),
         )
 
+    @staticmethod
+    def _is_recent(client: Client, silent_s: float) -> bool:
+        """Return whether a client that has sent nothing for a while may be about to, or to go on."""
+        return silent_s < (FIRST_REQUEST_DELAY_S if client.closable else STALE_AFTER_S)
+
     def _is_evictable(self, client: Client) -> bool:
         """Return whether a connection has no pending response."""
         if client in self.last_received or client.draining:
             return not client.serving
         return client.closable
 
-    def _evict(self, limit: int) -> int:
+    def _evict(self, limit: int, *, spare_recent: bool = False) -> int:
         """Close up to `limit` connections without a pending response; return how many were closed."""
+        evictable = self._evictable(spare_recent=spare_recent)
         if self.admission is None:
-            evicted = list(islice(self._evictable(), limit))
+            evicted = list(islice(evictable, limit))
         else:
-            remaining, evicted = dict.fromkeys(self._evictable()), []
+            remaining, evicted = dict.fromkeys(evictable), []
             while remaining and len(evicted) < limit:
                 evicted.append(self.admission.eviction_candidate(monotonic(), remaining))
                 del remaining[evicted[-1]]
