Let the silent connections of an eviction test be silent for half a second

Cause: test_no_known_client_is_evicted_for_a_connection_that_is_not_accepted_yet adds three connections and expects two to be evicted at once.

Change: the test first asks that none of them is evicted, lets half a second pass for them, and goes on as before.

--- a/tests/test_descriptor_limits.py
+++ b/tests/test_descriptor_limits.py
@@ -37,7 +37,7 @@
 from ochreflow.app.sidecar import system_limit
 from ochreflow.core.limits import MB, Descriptors, Memory
 from ochreflow.http.accept_throttle import MAX_EVICTIONS_PER_PAUSE
-from ochreflow.http.clients import MAX_EVICTIONS_PER_SWEEP, Clients
+from ochreflow.http.clients import MAX_EVICTIONS_PER_SWEEP, STALE_AFTER_S, Clients
 
 pytestmark = pytest.mark.xdist_group("real-time")
 
@@ -678,6 +678,9 @@
     for connection in connections:
         clients.add(connection)
     connections[0].known = True
+    assert not clients.evict_for_new_connection()  # their first requests may be in flight
+    for connection in connections:
+        clients.last_received[connection] -= STALE_AFTER_S
     while clients.evict_for_new_connection():
         pass
     assert list(clients.connections) == [connections[0]]
