--- a/review/common2.py
+++ b/review/common2.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import signal
@@ -307,6 +308,11 @@
         return sock.getsockname()[1]
 
 
+def end_with_parent():
+    """Let the system kill this process when its parent ends, however that ends: see prctl(2)."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+
+
 class Sidecar:
     """One sidecar, started by the line `run` of the deploy file in a process group of its own."""
 
@@ -348,6 +354,7 @@
             stderr=self.log,
             pass_fds=self.pass_fds,
             start_new_session=True,
+            preexec_fn=end_with_parent,
         )
         self.record.add("sidecar started", pid=self.process.pid)
         end = time.monotonic() + 30
@@ -402,14 +409,31 @@
     return ("\r\n".join([*head, *lines]) + "\r\n\r\n").encode() + body
 
 
+async def bounded(case, record, folder, trouble):
+    """Run a case for 110 s at most; SIGTERM, SIGINT and SIGHUP end it early."""
+    task = asyncio.ensure_future(case(record, folder, trouble))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    try:
+        return await asyncio.wait_for(task, 110)
+    except asyncio.CancelledError:
+        return NOT_RUN, "ended early by a signal"
+    finally:
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for other in others:
+            other.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+        await asyncio.sleep(0.05)  # the transports that they have closed end in the loop's next turns
+
+
 def main(case, record_path):
     """Run `case(record, folder, trouble)` and return its verdict as the exit code."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(record_path)
     with tempfile.TemporaryDirectory() as folder:
         try:
-            verdict, text = asyncio.run(asyncio.wait_for(case(record, folder, trouble), 110))
-        except (CaseError, TimeoutError, OSError) as error:
+            verdict, text = asyncio.run(bounded(case, record, folder, trouble))
+        except Exception as error:  # an unexpected error of a stand-in is no verdict either
             verdict, text = NOT_RUN, f"the case could not run: {error!r}"
     record.add("verdict", exit=verdict, text=text, trouble=trouble)
     record.close()
