--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,11 +1,11 @@
-"""Case 10: at a planned restart the sidecar ends by itself and cuts off answers that servers still give."""
+"""Case 10: discovery is down for 8 s, a server drains, and then one call of each sidecar is refused."""
 
 # A script of a review: its names say what it does, and its stand-ins take what varies as arguments.
-# ruff: noqa: D103
+# ruff: noqa: C901, D103, D107, EM101
 
 import asyncio
 import contextlib
-import signal
+import json
 import sys
 import time
 from pathlib import Path
@@ -16,6 +16,7 @@
     BROKEN,
     HELD,
     HOST,
+    CaseError,
     Discovery,
     Server,
     Sidecar,
@@ -24,70 +25,127 @@
     main,
     read_head,
     request,
+    reset,
+    response,
 )
 
-BODY = 2 * 1024 * 1024
-PIECE = 32 * 1024
-PAUSE_S = 0.08  # 64 pieces, so that an answer takes 5.1 s
-KILL_S = 9.0  # after SIGTERM; the pages allow 3.7 s and later
+SIDECARS = 20  # of the fleet that the settings name, these are started
+FLEET = 200
+OUTAGE_S = 8.0
+CALL_WAIT_S = 2.0  # a call that has waited so long is refused
+TOLD_S = 6.0  # after discovery had the change and could be reached
+GRACE_S = 2.5  # rules.drain-grace-ns
+SLACK_S = 0.05 + 0.1  # the slack of the pages, and what this script's own loop may be late
+CLIENTS = 2  # of each sidecar
 
 
-async def long_answer(server, item, writer):
-    """Give an answer of 2 MB in small pieces, without a pause that is long."""
-    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % BODY)
-    for _ in range(BODY // PIECE):
-        writer.write(b"f" * PIECE)
-        await writer.drain()
-        await asyncio.sleep(PAUSE_S)
-    server.record.add("server gave all", id=item["id"])
+class BusyDiscovery(Discovery):
+    """Refuses the first call on each of `refuse` connections after it has waited for `CALL_WAIT_S`."""
 
+    refuse = False
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.refused = set()
+
+    async def _serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                line, headers = await read_head(reader)
+                target, caller = line.split(" ")[1], headers["host"]
+                self.record.add("discovery called", target=target, caller=caller)
+                if self.refuse and caller not in self.refused:
+                    self.refused.add(caller)
+                    await asyncio.sleep(CALL_WAIT_S)
+                    writer.write(response(503))
+                    self.record.add("discovery refused", caller=caller)
+                    continue
+                query = dict(part.split("=", 1) for part in target.partition("?")[2].split("&") if part)
+                after = int(query["after"]) if "after" in query else None
+                end = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
+                while after is not None and self.index <= after and (left := end - time.monotonic()) > 0:
+                    with contextlib.suppress(TimeoutError):
+                        await asyncio.wait_for(self.news.wait(), left)
+                if writer.is_closing():
+                    return
+                answer = self._answer(after)
+                writer.write(response(200, json.dumps(answer).encode()))
+                self.record.add("discovery told", index=answer["index"], caller=caller)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
 
-async def client(record, reader, writer, request_id):
-    """Send one request, read its answer to the end, and return the bytes of its body."""
-    writer.write(request("assign", request_id, 5000, b"seat"))
-    record.add("client sent", id=request_id)
-    got, code = 0, 0
-    try:
-        line, _ = await read_head(reader)
-        code = int(line.split()[1])
-        record.add("client got the head", id=request_id, code=code)
-        while got < BODY and (data := await reader.read(65536)):
-            got += len(data)
-    except (OSError, asyncio.IncompleteReadError) as error:
-        record.add("connection ended", id=request_id, error=type(error).__name__)
-    record.add("client got", id=request_id, code=code, bytes=got, of=BODY)
-    writer.close()
-    return code, got
+
+async def client(record, port, number, until):
+    count = 0
+    while time.monotonic() < until:
+        count += 1
+        request_id = f"{number:03d}{count:05d}"
+        try:
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(request("exposure", request_id, 5000, b"shown"))
+            line, _ = await asyncio.wait_for(read_head(reader), 6)
+            record.add("client answered", id=request_id, code=int(line.split()[1]))
+            writer.close()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            record.add("client got no answer", id=request_id, error=type(error).__name__)
+        await asyncio.sleep(0.2)
 
 
 async def case(record, folder, trouble):
-    servers = [await Server(f"s{number}", record, long_answer).start() for number in range(3)]
+    servers = [await Server(f"s{number}", record).start() for number in range(4)]
     known = {"index": 1, "snapshot": True, "endpoints": [entry(server) for server in servers]}
-    discovery = await Discovery(record, known["endpoints"]).start()
-    sidecar = Sidecar(record, configuration(discovery.address, known), folder)
+    # One listener for each sidecar, so that the record tells the callers apart; all have one list.
+    discoveries = [await BusyDiscovery(record, known["endpoints"]).start() for _ in range(SIDECARS)]
+    sidecars = []
     try:
-        await sidecar.start()
-        kept = await asyncio.open_connection(HOST, sidecar.port)  # open before SIGTERM, used after it
-        first = await asyncio.open_connection(HOST, sidecar.port)
-        answers = [asyncio.create_task(client(record, *first, "before01"))]
-        await asyncio.sleep(0.5)
+        for number, discovery in enumerate(discoveries):
+            data = configuration(discovery.address, known, **{"fleet-size": FLEET, "index": number})
+            data["name"], data["seed"] = f"n{number}", f"{0x8C1F30D27A5BE964 + number * 977:x}"
+            sub = Path(folder) / f"n{number}"
+            sub.mkdir()
+            sidecars.append(Sidecar(record, data, sub))
+        await asyncio.gather(*(sidecar.start() for sidecar in sidecars))
         began = time.monotonic()
+        until = began + 26
+        load = [
+            asyncio.create_task(client(record, sidecar.port, number * CLIENTS + part, until))
+            for number, sidecar in enumerate(sidecars)
+            for part in range(CLIENTS)
+        ]
+        await asyncio.sleep(6)  # the first calls of a fleet of this size are spread over some seconds
+        if trouble:
+            for discovery in discoveries:
+                discovery.listener.close()
+                for writer in list(discovery.writers):
+                    reset(writer)
+            record.add("discovery down")
+            await asyncio.sleep(OUTAGE_S / 2)
+        for discovery in discoveries:
+            discovery.change(entry(servers[0], "DRAINING"))
         if trouble:
-            sidecar.signal(signal.SIGTERM)
-        await asyncio.sleep(1.0)
-        answers.append(asyncio.create_task(client(record, *kept, "after001")))
-        ended = asyncio.create_task(sidecar.process.wait())
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(asyncio.gather(*answers), KILL_S)
-        if ended.done():
-            after_s = round(time.monotonic() - began, 2)
-            record.add("the sidecar had ended", code=sidecar.process.returncode, by_s=after_s)
-        got = [task.result() if task.done() and not task.cancelled() else (0, 0) for task in answers]
+            await asyncio.sleep(OUTAGE_S / 2)
+            for discovery in discoveries:
+                discovery.refuse = True
+                await discovery.start(discovery.port)
+            record.add("discovery back")
+        told = time.monotonic() + (TOLD_S if trouble else 0.0)
+        await asyncio.gather(*load)
+        if not servers[0].requests:
+            raise CaseError("the draining server got no request at all")
+        end = told + GRACE_S + SLACK_S
+        late = [item for item in servers[0].requests if item["first"] > end]
+        for item in late:
+            record.add("late send", id=item["id"], after_limit_s=round(item["first"] - end, 3))
+        who = sorted({item["id"][:3] for item in late})
+        text = f"{len(late)} requests sent to the draining server after its grace, from clients {who}"
+        return (BROKEN if late else HELD), text
     finally:
-        await sidecar.end()
-    # An answer that is no 200 is final; a 200 that is cut off is lost: no SIGKILL was sent before this.
-    cut = [item for item in got if item[0] in (0, 200) and item[1] < BODY]
-    return (BROKEN if cut else HELD), f"answers cut off by the sidecar's own end: {len(cut)} of {len(got)}"
+        for sidecar in sidecars:
+            await sidecar.end()
 
 
 if __name__ == "__main__":
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Case 8: in an upgrade the new process misses a drain that discovery has told to the old one."""
+"""Case 8: after a new configuration the sidecar gives up every call to a slow discovery before its answer."""
 
 # A script of a review: its names say what it does, and its stand-ins take what varies as arguments.
 # ruff: noqa: D103, EM101
@@ -7,7 +7,6 @@
 import contextlib
 import json
 import signal
-import socket
 import sys
 import time
 from pathlib import Path
@@ -24,75 +23,58 @@
     Sidecar,
     configuration,
     entry,
-    free_port,
     main,
     read_head,
     request,
     response,
 )
 
-SIDECARS = 10
-FLEET = 48
-CALL_WAIT_S = 2.0  # a call that has waited so long is refused
-BINDS_S = 2.0  # after the new process said yes
+TURN_S = 1.9  # a call waits so long for its turn; after 2 s it would be refused
+PIECES = 18  # of an answer
+PIECE_S = 0.1  # between two pieces, so that an answer takes 1.8 s
+TOLD_S = 4.0  # after SIGHUP
 GRACE_S = 2.5  # rules.drain-grace-ns
-SLACK_S = 0.05
-TERM_S = 1.0  # from the yes to SIGTERM of the old process; 6 s at most
-KILL_S = 3.7  # from SIGTERM to SIGKILL
-CLIENTS = 3  # of each sidecar
-SETTLE_S = 6.0  # the first calls of a fleet of this size are spread over some seconds
+SLACK_S = 0.05 + 0.1  # the slack of the pages, and what this script's own loop may be late
+CLIENTS = 8
+ENDS_S = 4.0  # after the grace the drained server ends, and resets what it still has
 
 
-class ShortDiscovery(Discovery):
-    """Refuses one call: the first of the process that starts second."""
-
-    refuse = False
+class SlowDiscovery(Discovery):
+    """Handles calls in turn, writes each answer in pieces, and answers each call."""
 
     async def _serve(self, reader, writer):
-        self.writers.add(writer)
         try:
             while True:
                 line, _ = await read_head(reader)
                 target = line.split(" ")[1]
+                self.record.add("slow discovery called", target=target)
                 query = dict(part.split("=", 1) for part in target.partition("?")[2].split("&") if part)
                 after = int(query["after"]) if "after" in query else None
-                self.record.add("discovery called", target=target, port=self.port)
-                if self.refuse and after == 1:
-                    self.refuse = False
-                    await asyncio.sleep(CALL_WAIT_S)
-                    writer.write(response(503))
-                    self.record.add("discovery refused", port=self.port)
-                    continue
                 end = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
+                await asyncio.sleep(TURN_S)
                 while after is not None and self.index <= after and (left := end - time.monotonic()) > 0:
                     with contextlib.suppress(TimeoutError):
                         await asyncio.wait_for(self.news.wait(), left)
                 answer = self._answer(after)
-                writer.write(response(200, json.dumps(answer).encode()))
-                self.record.add("discovery told", index=answer["index"], port=self.port)
-                for item in answer["endpoints"]:
-                    self.told.setdefault((item["name"], item["status"]), time.monotonic())
+                data = response(200, json.dumps(answer).encode())
+                size = len(data) // PIECES + 1
+                for at in range(0, len(data), size):
+                    writer.write(data[at : at + size])
+                    await writer.drain()
+                    await asyncio.sleep(PIECE_S)
+                    if reader.at_eof() or writer.is_closing():
+                        self.record.add("the sidecar left during its answer", sent=at + size, of=len(data))
+                        return
+                self.record.add("slow discovery told", index=answer["index"])
         except (OSError, asyncio.IncompleteReadError):
-            pass
+            self.record.add("the sidecar closed a connection to discovery")
         finally:
-            self.writers.discard(writer)
             writer.close()
 
 
-async def says_yes(sidecar):
-    """Wait until a process says yes at its second address."""
-    host, port = sidecar.data["management"].rsplit(":", 1)
-    end = time.monotonic() + 20
-    while time.monotonic() < end:
-        with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
-            reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(b"GET /healthcheck HTTP/1.1\r\nHost: sidecar\r\n\r\n")
-            line, _ = await asyncio.wait_for(read_head(reader), 1)
-            writer.close()
-            if " 200 " in line:
-                return time.monotonic()
-        await asyncio.sleep(0.01)
-    raise CaseError("a process did not say yes")
+async def work(_server, _item, writer):
+    await asyncio.sleep(0.3)
+    writer.write(response(200, b"seat"))
 
 
 async def client(record, port, number, until):
@@ -102,7 +84,7 @@
         request_id = f"{number:03d}{count:05d}"
         try:
             reader, writer = await asyncio.open_connection(HOST, port)
-            writer.write(request("exposure", request_id, 5000, b"shown"))
+            writer.write(request("assign", request_id, 5000, b"seat"))
             line, _ = await asyncio.wait_for(read_head(reader), 6)
             record.add("client answered", id=request_id, code=int(line.split()[1]))
             writer.close()
@@ -111,70 +93,45 @@
         await asyncio.sleep(0.1)
 
 
-async def upgraded(record, folder, trouble, number):
-    """Play one sidecar; return how many requests went to the draining server after its time."""
-    servers = [await Server(f"s{number}{part}", record).start() for part in range(3)]
-    known = {"index": 1, "snapshot": True, "endpoints": [entry(server) for server in servers]}
-    discovery = await ShortDiscovery(record, known["endpoints"]).start()
-    processes = []
-    with socket.socket() as listener:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((HOST, 0))
-        listener.listen(512)
-        shared = Path(folder) / f"n{number}"
-        shared.mkdir()
-
-        async def start(version):
-            data = configuration(discovery.address, known, **{"fleet-size": FLEET, "index": number})
-            data["name"] = f"n{number}"
-            data["seed"] = f"{0x8C1F30D27A5BE964 + number * 977 + version * 31 + int(time.time()):x}"
-            data["listen"] = f"{HOST}:{listener.getsockname()[1]}"
-            data["management"] = f"{HOST}:{free_port()}"
-            sub = shared / f"v{version}"
-            sub.mkdir()
-            environment = {"TMPDIR": str(shared), "GW_FD": str(listener.fileno())}
-            sidecar = Sidecar(record, data, sub, environment, (listener.fileno(),))
-            processes.append(sidecar)
-            await sidecar.start()
-            return sidecar, await says_yes(sidecar)
-
-        try:
-            old, yes = await start(1)
-            until = time.monotonic() + SETTLE_S + 14
-            load = [
-                asyncio.create_task(client(record, old.port, number * CLIENTS + part, until))
-                for part in range(CLIENTS)
-            ]
-            await asyncio.sleep(SETTLE_S)
-            if trouble:
-                discovery.refuse = True
-                _, yes = await start(2)
-                record.add("the new process said yes", sidecar=number)
-            discovery.change(entry(servers[0], "DRAINING"))
-            if trouble:
-                await asyncio.sleep(TERM_S)
-                old.signal(signal.SIGTERM)
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(old.process.wait(), KILL_S)
-                await old.end()
-            await asyncio.gather(*load)
-        finally:
-            for process in processes:
-                await process.end()
-    told = discovery.told.get((servers[0].name, "DRAINING"))
-    if told is None or not servers[0].requests:
-        raise CaseError("the drain was never told, or the draining server got no request at all")
-    end = max(told, yes + BINDS_S) + GRACE_S + SLACK_S
-    late = [item for item in servers[0].requests if item["first"] > end]
-    for item in late:
-        record.add("late send", sidecar=number, id=item["id"], after_limit_s=round(item["first"] - end, 3))
-    return len(late)
-
-
 async def case(record, folder, trouble):
-    late = await asyncio.gather(*(upgraded(record, folder, trouble, number) for number in range(SIDECARS)))
-    text = f"requests sent to the draining server after its grace, by sidecar: {late}"
-    return (BROKEN if any(late) else HELD), text
+    servers = [await Server(f"s{number}", record, work).start() for number in range(4)]
+    known = {"index": 1, "snapshot": True, "endpoints": [entry(server) for server in servers]}
+    first = await Discovery(record, known["endpoints"]).start()
+    second = await SlowDiscovery(record, known["endpoints"]).start()
+    data = configuration(first.address, known)
+    sidecar = Sidecar(record, data, folder)
+    try:
+        await sidecar.start()
+        until = time.monotonic() + 18
+        load = [asyncio.create_task(client(record, sidecar.port, number, until)) for number in range(CLIENTS)]
+        await asyncio.sleep(3)
+        if trouble:
+            data["discovery"] = second.address
+            sidecar.write_configuration()
+            sidecar.signal(signal.SIGHUP)
+            first.listener.close()
+            end = time.monotonic() + TOLD_S + GRACE_S + SLACK_S
+            second.change(entry(servers[0], "DRAINING"))
+            await asyncio.sleep(1.5)
+            for writer in list(first.writers):
+                writer.close()
+        else:
+            first.change(entry(servers[0], "DRAINING"))
+            end = time.monotonic() + GRACE_S + SLACK_S
+        await asyncio.sleep(max(end + ENDS_S - time.monotonic(), 0))
+        servers[0].die()
+        record.add("the drained server has ended")
+        await asyncio.gather(*load)
+    finally:
+        await sidecar.end()
+    if not servers[0].requests:
+        raise CaseError("the draining server got no request at all")
+    late = [item["first"] - end for item in servers[0].requests if item["first"] > end]
+    for seconds in late:
+        record.add("late send", after_limit_s=round(seconds, 3))
+    text = f"{len(late)} requests sent to the draining server after its grace"
+    text += f", the last one {max(late):.1f} s after it" if late else ""
+    return (BROKEN if late else HELD), text
 
 
 if __name__ == "__main__":
--- a/review/common2.py
+++ b/review/common2.py
@@ -11,6 +11,7 @@
 import ctypes
 import json
 import os
+import random
 import signal
 import socket
 import struct
@@ -303,9 +304,14 @@
 
 
 def free_port():
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Return a free port outside the range from which the system picks those of connections."""
+    for _ in range(1000):
+        port = random.randrange(12_000, 30_000)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((HOST, port))
+            return port
+    msg = "no free port was found"
+    raise CaseError(msg)
 
 
 def end_with_parent():
