--- a/review/common2.py
+++ b/review/common2.py
@@ -173,7 +173,8 @@
         self.told = {}  # (name, status) -> monotonic time of the first write that tells it
 
     async def start(self, port=0):
-        self.listener = await asyncio.start_server(self._serve, HOST, port)
+        # A discovery that goes down and comes back needs a port that no connection gets meanwhile.
+        self.listener = await asyncio.start_server(self._serve, HOST, port or free_port())
         self.port = self.listener.sockets[0].getsockname()[1]
         return self
 
@@ -380,7 +381,8 @@
             return False
         try:
             writer.write(b"GET /-/ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n")
-            line, _ = await asyncio.wait_for(read_head(reader), 2)
+            async with asyncio.timeout(2):
+                line, _ = await read_head(reader)
             return " 200 " in line
         except (OSError, asyncio.IncompleteReadError, TimeoutError):
             return False
@@ -425,10 +427,12 @@
     except asyncio.CancelledError:
         return NOT_RUN, "ended early by a signal"
     finally:
-        others = asyncio.all_tasks() - {asyncio.current_task()}
-        for other in others:
-            other.cancel()
-        await asyncio.gather(*others, return_exceptions=True)
+        for _ in range(10):  # `wait_for` may lose a cancellation
+            others = asyncio.all_tasks() - {asyncio.current_task()}
+            for other in others:
+                other.cancel()
+            if not others or not (await asyncio.wait(others, timeout=0.3))[1]:
+                break
         await asyncio.sleep(0.05)  # the transports that they have closed end in the loop's next turns
 
 
