Plan polls of discovery from the time at which the list is due, not by counting failures

In the record, sidecars called 0.2 to 4.4 s after the return, were rejected 2 s later, and called again only 3.4 to 4.1 s after that; the answers came within 10 ms.

Cause: the schedule had three urgent retries, used up while connections were refused; after them no further failure was planned for, and a slow one took all the time that was left. A refused connection shows that discovery is away, but was taken for any failure.

Change: ListDeadline owns the protocol's times and when the list is due, and the schedule shares what is left until then. A refused connection begins the time anew and costs discovery nothing, so it is tried again after 0.5 to 2 s. The client tells the balancer the kind of each failure. After the due time polls begin at a steady period that fits two to four of them into the term.

--- a/ochreflow/app/sidecar.py
+++ b/ochreflow/app/sidecar.py
@@ -82,6 +82,7 @@
             on_relocated=self.engine.on_source_relocated,
             pushed=not settings.polling_required,
             timeouts=long_poll_timeouts(settings.drain_grace_ns),
+            on_failure=self.engine.on_poll_failed,
         )
         self.engine.start(self.discovery, cached_list)
 
--- a/ochreflow/core/engine.py
+++ b/ochreflow/core/engine.py
@@ -124,6 +124,10 @@
         else:
             self._apply(update)
 
+    def on_poll_failed(self, failure: api.PollFailure) -> None:
+        """Notify the balancer that a poll of the source of the endpoint list has failed."""
+        self.dispatcher.dispatch(api.Membership(api.ListKind.FAILED, 0, [], failure))
+
     def on_source_relocated(self) -> None:
         """Notify the balancer that the source of the endpoint list is at another address."""
         self.dispatcher.dispatch(api.Membership(api.ListKind.RELOCATED, 0, []))
--- a/ochreflow/http/discovery_transport.py
+++ b/ochreflow/http/discovery_transport.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from ..core.call_failures import CONNECTION_REFUSED
 from ..core.limits import MB, Descriptors, Memory
 from ..core.ports import Address
 from ..policy.interface import State, Status
@@ -64,12 +65,19 @@
         def ended(_: Exchange, status: Status, response: Response | None) -> None:
             if status is Status.OK and response is not None:
                 done(response.body, "")
+            elif response is not None:
+                done(None, f"answer {response.code}")
             else:
-                done(None, status.name if response is None else f"answer {response.code}")
+                done(None, self._reason(status))
 
         head = f"GET {target} HTTP/1.1\r\nHost: {self.host}\r\nAccept: application/json\r\n\r\n".encode()
         self.upstreams.start(SERVICE_ID, Exchange(lambda: head, ended, self.max_response_bytes), timeout_s)
 
+    def _reason(self, status: Status) -> str:
+        """Return why a request got no response."""
+        refused = status is Status.CONNECT_FAILED and self.upstreams.targets[SERVICE_ID].nobody_listens
+        return CONNECTION_REFUSED if refused else status.name
+
     def close(self) -> None:
         """Close all connections to the service."""
         self.upstreams.close()
--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -214,8 +214,10 @@
             else:
                 async with asyncio.timeout(self.connect_timeout):
                     await self.loop.sock_connect(connection.stream.sock, target.address)
+                target.nobody_listens = False
                 connection.connected()
-        except OSError:
+        except OSError as error:
+            target.nobody_listens = isinstance(error, ConnectionRefusedError)
             target.refused_at = monotonic()
             connection.close()
         except asyncio.CancelledError:
--- a/ochreflow/http/upstream_connection.py
+++ b/ochreflow/http/upstream_connection.py
@@ -60,6 +60,7 @@
         # Exchanges that wait, in order of arrival, and whether a connection is being opened for each.
         self.waiting: dict[Exchange, bool] = {}
         self.settle_timer: asyncio.TimerHandle | None = None  # fires when another idle connection is settled
+        self.nobody_listens = False  # whether the latest new connection was refused: no process listens there
         self.refused_at = -math.inf  # when it last refused a new connection, or broke it on the first request
         self.rejected_at = -math.inf  # when it last rejected the first request on a new connection
 
--- a/ochreflow/membership/discovery.py
+++ b/ochreflow/membership/discovery.py
@@ -12,9 +12,11 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from ..core.call_failures import CONNECT_FAILED, CONNECTION_REFUSED, NO_ANSWER, TIMEOUT
 from ..core.endpoints import EndpointIds, EndpointUpdate
 from ..core.log import log
 from ..core.ports import Address
+from ..policy.interface import PollFailure
 from .answer_order import AnswerOrder
 from .endpoint_list import parse_endpoint_update
 from .stall_timer import StallTimer
@@ -26,13 +28,22 @@
 COMPLETE_LIST_PATH = "/api/targets"
 ANSWER_TIMEOUT_S = 3.5  # added to a poll's wait, since discovery processes its requests one at a time
 MIN_POLL_INTERVAL_S = 0.1  # least time between polls that are answered immediately without changes
+FAILURE_OF_REASON = {
+    CONNECTION_REFUSED: PollFailure.REFUSED,
+    CONNECT_FAILED: PollFailure.TIMED_OUT,
+    TIMEOUT: PollFailure.TIMED_OUT,
+    NO_ANSWER: PollFailure.TIMED_OUT,
+}
 
 UpdateHandler = Callable[[EndpointUpdate | None, str], None]
 """Called with an update, or with None and the reason of the failure."""
 
 
 class DiscoveryClient:
-    """Watches and fetches the endpoint list on request. A failure is passed on as an update of None."""
+    """Watches and fetches the endpoint list on request.
+
+    A failure is passed on as its kind to `on_failure`; without that, as an update of None.
+    """
 
     def __init__(
         self,
@@ -46,6 +57,7 @@
         on_relocated: Callable[[], None],
         pushed: bool,
         timeouts: LongPollTimeouts,
+        on_failure: Callable[[PollFailure], None] | None = None,
     ) -> None:
         """Open a transport to `address`; nothing is sent before `watch` or `fetch`.
 
@@ -58,6 +70,7 @@
         self.ids = ids
         self.answer_order = AnswerOrder(version)
         self.on_update = on_update
+        self.on_failure = on_failure
         self.on_relocated = on_relocated  # called after a switch to another address, which is to be polled
         self.pushed = pushed
         self.watching = False
@@ -154,7 +167,7 @@
             # After the failure reported below, the balancer polls again only after a delay, which may be too
             # late to notice a drain. One more request sent now can be answered in the rest of the time.
             self._request(COMPLETE_LIST_PATH, ANSWER_TIMEOUT_S, partial(self._on_poll_answer, generation))
-        self._on_failure("no answer in time")
+        self._on_failure(NO_ANSWER)
 
     def _on_poll_answer(self, generation: int, update: EndpointUpdate | None, reason: str) -> None:
         if generation != self.watch_generation:
@@ -212,18 +225,26 @@
 
     def _on_fetch_answer(self, update: EndpointUpdate | None, reason: str) -> None:
         self._log_result(update, reason)
-        self._accept(update)
+        if update is None:
+            self._report_failure(reason)
+        else:
+            self._accept(update)
 
     def _on_failure(self, reason: str) -> None:
         self._log_result(None, reason)
         self.watch(on=False)
         if self.pushed:  # for a pushing agent, the balancer does not schedule another poll
             self.loop.call_later(self.timeouts.agent_retry_s, partial(self.watch, on=True))
-        self._accept(None)
+        self._report_failure(reason)
 
-    def _accept(self, update: EndpointUpdate | None) -> None:
-        if update is not None:
-            self.answer_order.accept(update)
+    def _report_failure(self, reason: str) -> None:
+        if self.on_failure is None:
+            self.on_update(None)
+        else:
+            self.on_failure(FAILURE_OF_REASON.get(reason, PollFailure.REJECTED))
+
+    def _accept(self, update: EndpointUpdate) -> None:
+        self.answer_order.accept(update)
         self.on_update(update)
 
     def _log_result(self, update: EndpointUpdate | None, reason: str) -> None:
--- a/ochreflow/membership/transport.py
+++ b/ochreflow/membership/transport.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 AnswerHandler = Callable[[bytes | None, str], None]
-"""Called with the body of an answer, or with None and the reason of the failure."""
+"""Called with the body of an answer, or with None and the reason of the failure, see `core.call_failures`."""
 
 
 class DiscoveryTransport(Protocol):
--- a/ochreflow/policy/endpoint_set.py
+++ b/ochreflow/policy/endpoint_set.py
@@ -106,7 +106,7 @@
     def apply(self, event: Membership) -> float:
         """Apply an endpoint update; return the share of the sampled servers that remains, at most 1."""
         if event.kind is ListKind.FAILED or event.kind is ListKind.RELOCATED:
-            self._on_subscription_lost(event.kind)
+            self._on_subscription_lost(event)
             return 1.0
         if event.kind is ListKind.CACHED:
             self.poll_schedule.on_start()
@@ -134,12 +134,12 @@
         after = len(self.local) + len(self.remote)
         return after / before if 0 < after < before else 1.0
 
-    def _on_subscription_lost(self, kind: ListKind) -> None:
+    def _on_subscription_lost(self, event: Membership) -> None:
         self.subscribed = False
-        if kind is ListKind.RELOCATED:
+        if event.kind is ListKind.RELOCATED:
             self.poll_schedule.on_relocation()
         else:
-            self.poll_schedule.on_failure()
+            self.poll_schedule.on_failure(event.failure)
 
     def poll(self) -> None:
         """Poll discovery, unless a list has arrived since or a later failure has postponed the poll."""
--- a/ochreflow/policy/interface.py
+++ b/ochreflow/policy/interface.py
@@ -57,6 +57,15 @@
     RELOCATED = 4  # no entries: discovery is at another address, which has not been polled yet
 
 
+class PollFailure(IntEnum):
+    """How a poll of discovery failed, in the order in which the failures show that discovery is there."""
+
+    REFUSED = 0  # no process accepts connections: discovery is away, and the poll cost it nothing
+    TIMED_OUT = 1  # no connection or no answer in time: discovery may be away, or may still answer
+    REJECTED = 2  # answered with an error or reset: something is there, discovery may be away or may not
+    REJECTED_LATE = 3  # the same after a wait: discovery is there and has too many callers
+
+
 @dataclass(frozen=True, slots=True)
 class RequestClass:
     """A class of requests. Immutable: the rules of a request are those of its class on arrival."""
@@ -141,6 +150,7 @@
     kind: ListKind
     version: int
     entries: list[Endpoint]
+    failure: PollFailure = PollFailure.REJECTED  # of kind FAILED
 
 
 @dataclass(slots=True)
--- a/ochreflow/policy/poll_schedule.py
+++ b/ochreflow/policy/poll_schedule.py
@@ -1,38 +1,50 @@
 """The schedule of polls of discovery: when to poll after a start, a change of its address or a failed poll.
 
-By the protocol, a change counts as notified within a fixed time, even if polls fail meanwhile. Discovery may
-be reachable and still fail a poll, so the schedule leaves time for a further one. All sidecars poll one
-service, so polls are spread with jitter, over a span that grows with the fleet and with each failed poll.
-`docs/design/discovery.md` has the inequalities and measurements.
+`ListDeadline` knows when the list is due. Until then, polls share the time that is left, so that further ones
+may fail: each failed poll is followed by another at a third of the remaining time. Once the due time has
+passed, discovery may return at any moment without notice. Polls then begin at a steady period, of which the
+time between the return and the due time holds two to four: as many as the fleet's polls together allow, since
+one service answers all sidecars. `docs/design/discovery.md` has the inequalities and measurements.
 """
 
+from .interface import PollFailure
+from .list_deadline import POLL_TIMEOUT_NS, REACHABLE_NS, RELOCATED_NS, ListDeadline
 from .state_records import POLL, SECOND, Context, ScheduledTimer
 
-# Spans over which the sidecars spread their polls, as shares of the polling interval.
-MIN_POLL_SPREAD = 0.05  # least span
-POLL_SPREAD_PER_SIDECAR = 0.007  # span for each sidecar: one service serves all of them
-BUSY_SPREAD_PER_SIDECAR = 0.025  # the same, while polls fail slowly: discovery has too many callers
-LEAST_SPREAD_PER_SIDECAR = 0.0025  # the same, where time has to be left for one more poll
-MAX_POLL_SPREAD = 0.6  # greatest span
-# Least delay before a poll, as a share of the span.
-MIN_POLL_DELAY = 0.1  # gives a failing registry a pause
-MIN_STEADY_POLL_DELAY = 0.75  # once the span no longer grows: polls are spread by then, and fewer are enough
-
-# By the protocol, a change counts as notified this long after discovery has it, even after a failed poll.
-LIST_DEADLINE_NS = 6 * SECOND
-# By the protocol, what discovery has counts as notified this long after its address has changed.
-RELOCATION_DEADLINE_NS = 4 * SECOND
-# By the protocol, a poll is answered or rejected within this time; the connect timeout is as long.
-POLL_TIMEOUT_NS = 2 * SECOND
+MS = SECOND // 1000
+
+# The first poll after an event is spread over this time for each sidecar, and over more than half of the time
+# in which it must begin only in large fleets.
+FIRST_POLL_SPREAD_PER_SIDECAR_NS = 70 * MS
+LEAST_FIRST_SPREAD_PER_SIDECAR_NS = 18 * MS
+FIRST_POLL_SHARE = 0.65
+MIN_SPREAD_NS = 500 * MS
+MAX_DELAY_SHARE = 0.6  # longest delay of a poll, as a share of the interval within which a sidecar must poll
+
+PROMPT_ANSWER_NS = 100 * MS  # answer of a discovery that is not crowded
+# Least time between two polls that fail, from start to start: in any case, and for each poll that has failed.
+MIN_RETRY_PERIOD_NS = 500 * MS
+RETRY_PERIOD_PER_FAILURE_NS = 200 * MS
+SLOW_RETRY_SPREAD_NS = 300 * MS  # of the next poll after a slow failure
+MIN_RETRY_DELAY_NS = 100 * MS  # least time between the end of a failed poll and the next one
+URGENT_SHARE = 0.4  # a retry takes this part of the time in which an answer of any length is in time
+LATE_URGENT_SHARE = 0.5  # the same once only a prompt answer is in time
+REFUSED_PERIOD_PER_SIDECAR_NS = 10 * MS  # while connections are refused: a poll costs discovery nothing
+MAX_REFUSED_PERIOD_NS = 2 * SECOND
+
+# Steady period of failing polls for each sidecar, from start to start.
+STEADY_PERIOD_PER_SIDECAR_NS = 70 * MS
+# The same, if fewer polls than wanted fit into the time until the list is due.
+LEAST_PERIOD_PER_SIDECAR_NS = 21 * MS
+# The same, while polls fail slowly: with more calls, discovery would have too many callers for good.
+CROWDED_PERIOD_PER_SIDECAR_NS = 135 * MS
 SLOW_FAILURE_NS = POLL_TIMEOUT_NS // 2  # a poll that failed later had to wait for other callers
 
-# Spans as shares of the time in which a poll must begin, so that its answer is not too late.
-FIRST_POLL_SHARE = 0.75  # of the first poll after an event: the rest is reserved for one more
-MAX_RETRY_SHARE = 0.5  # of a repeated poll: if it fails, another one begins in time
-MIN_RETRY_SHARE = 0.25  # of a repeated poll in a small fleet: three may fail
-# Repeated polls in the time that is left until the list is due; later ones are no more frequent than a long
-# outage allows. A slow failure counts twice.
-URGENT_RETRIES = 3
+# Least delay as a share of the greatest one: all sidecars that had a common failure must not poll together.
+MIN_FIRST_JITTER = 0.1
+MIN_RETRY_JITTER = 0.7
+MIN_CROWDED_JITTER = 0.85  # once the period is steady, while polls fail slowly
+MIN_STEADY_JITTER = 0.95  # once the period is steady: polls are spread by then, and fewer are enough
 
 
 class PollSchedule:
@@ -41,17 +53,16 @@
     def __init__(self, context: Context) -> None:
         """Start without a scheduled poll."""
         self.context = context
+        self.deadline = ListDeadline(context.settings)
         self.poll_at = 0  # 0: no poll is scheduled
         self.poll_started_at = 0  # when the latest poll began, as far as is known
-        # Since the last list or change of the address:
-        self.scheduled_polls = 0
-        self.spread_ns = 0.0  # span of the latest poll
-        self.urgent_retries = URGENT_RETRIES  # repeated polls that are left until the list is due
-        self.list_due_at = 0  # when the list must be up to date again; 0: it is, as far as is known
+        self.previous_poll_started_at = 0
+        self.scheduled_polls = 0  # since the last list or change of the address
+        self.is_steady = False  # whether the latest poll kept the steady period
 
     def on_start(self) -> None:
         """Schedule the first poll: sidecars that restart together must not poll together."""
-        self._schedule_first(LIST_DEADLINE_NS)
+        self._schedule_first(REACHABLE_NS)
 
     def on_list(self) -> None:
         """Record that an endpoint list has arrived."""
@@ -60,89 +71,130 @@
     def on_relocation(self) -> None:
         """Schedule a poll of the new address; a poll that is scheduled for an earlier time keeps it."""
         self._reset()
-        self._schedule_first(RELOCATION_DEADLINE_NS, not_after=self.poll_at)
+        self._schedule_first(RELOCATED_NS, not_after=self.poll_at)
 
-    def on_failure(self) -> None:
+    def on_failure(self, failure: PollFailure) -> None:
         """Schedule the next poll after a failed one, or after the subscription broke.
 
         Discovery may have recovered as soon as the failed poll began, and a change may count from then on.
         """
-        poll_duration_ns = self.context.now - self.poll_started_at
+        now = self.context.now
+        poll_duration_ns = now - self.poll_started_at
         # A poll that seems to have taken longer had been answered before its subscription failed.
         failed_for_ns = poll_duration_ns * (poll_duration_ns <= 2 * POLL_TIMEOUT_NS)
         if not self.scheduled_polls:
-            self._schedule_first(LIST_DEADLINE_NS - failed_for_ns)
+            self._schedule_first(REACHABLE_NS - failed_for_ns)
+            return
+        if failure is PollFailure.REJECTED and failed_for_ns >= SLOW_FAILURE_NS:
+            failure = PollFailure.REJECTED_LATE
+        self.deadline.poll_failed(failure, now, self.previous_poll_started_at)
+        if failure is PollFailure.REFUSED:
+            self._schedule(self._refused_period(), MIN_RETRY_JITTER)
             return
         is_slow = failed_for_ns >= SLOW_FAILURE_NS
-        time_to_poll_ns = self._time_to_poll(LIST_DEADLINE_NS - failed_for_ns)
-        spread_ns = self._steady_spread(time_to_poll_ns, discovery_is_busy=is_slow)
-        if self.urgent_retries > 0:
-            spread_ns = min(spread_ns, self._urgent_spread())
-            self.urgent_retries -= 2 if is_slow else 1
-        backoff_ns = max(self._fleet_spread(POLL_SPREAD_PER_SIDECAR), 2 * self.spread_ns)
-        self._schedule(min(backoff_ns, spread_ns))
+        steady_delay_ns = self._steady_delay(failed_for_ns)
+        urgent_delay_ns = self._urgent_delay(failure, failed_for_ns)
+        if urgent_delay_ns is not None and urgent_delay_ns < steady_delay_ns:
+            self.is_steady = False
+            self._schedule(urgent_delay_ns, MIN_FIRST_JITTER if is_slow else MIN_RETRY_JITTER)
+            return
+        # Urgent polls of a fleet draw near to each other, since their list is due at the same time.
+        steady_jitter = MIN_CROWDED_JITTER if is_slow else MIN_STEADY_JITTER
+        self._schedule(steady_delay_ns, steady_jitter if self.is_steady else MIN_FIRST_JITTER)
+        self.is_steady = True
 
     def take_due_poll(self) -> bool:
         """Return whether a poll is due now; it counts as begun then."""
         if not 0 < self.poll_at <= self.context.now:
             return False
+        self.previous_poll_started_at = self.poll_started_at
         self.poll_at, self.poll_started_at = 0, self.context.now
         return True
 
-    def _schedule_first(self, deadline_ns: int, not_after: int = 0) -> None:
-        """Schedule the first poll after an event, from which a drain counts as notified in `deadline_ns`."""
-        self.list_due_at = self.context.now + deadline_ns + self.context.settings.drain_grace_ns
-        max_spread_ns = self._max_spread(self._time_to_poll(deadline_ns), FIRST_POLL_SHARE)
-        self._schedule(min(self._fleet_spread(POLL_SPREAD_PER_SIDECAR), max_spread_ns), not_after)
-
-    def _urgent_spread(self) -> float:
-        """Return the span of a poll that leaves time for the remaining ones until the list is due."""
-        time_left_ns = self.list_due_at - POLL_TIMEOUT_NS - self.context.now
-        return max(time_left_ns / self.urgent_retries, self._min_spread())
-
-    def _steady_spread(self, time_to_poll_ns: float, *, discovery_is_busy: bool) -> float:
-        """Return the span of a poll in a long outage: a fleet polls as often as discovery can bear.
-
-        If discovery has too many callers, no time is reserved for one more poll.
+    def _schedule_first(self, notified_ns: int, not_after: int = 0) -> None:
+        """Schedule the first poll after an event, from which a drain counts as notified in `notified_ns`."""
+        self.deadline.begin(self.context.now, notified_ns)
+        to_poll_ns = self.deadline.time_left_ns(self.context.now) - POLL_TIMEOUT_NS
+        # A slow failure, and a prompt answer to the next poll, still fit into the time after this spread.
+        after_failure_ns = to_poll_ns - MIN_RETRY_DELAY_NS - PROMPT_ANSWER_NS
+        least_ns = min(self._for_fleet(LEAST_FIRST_SPREAD_PER_SIDECAR_NS), after_failure_ns)
+        most_ns = max(FIRST_POLL_SHARE * to_poll_ns, least_ns, MIN_SPREAD_NS)
+        wanted_ns = max(self._for_fleet(FIRST_POLL_SPREAD_PER_SIDECAR_NS), MIN_SPREAD_NS)
+        self._schedule(min(wanted_ns, most_ns), MIN_FIRST_JITTER, not_after)
+
+    def _urgent_delay(self, failure: PollFailure, failed_for_ns: int) -> float | None:
+        """Return the delay of a poll that leaves time for another until the list is due.
+
+        Return None if no poll is in time any more.
         """
-        per_sidecar = BUSY_SPREAD_PER_SIDECAR if discovery_is_busy else POLL_SPREAD_PER_SIDECAR
-        share = 1.0 if discovery_is_busy else MAX_RETRY_SHARE
-        spread_ns = max(self._fleet_spread(per_sidecar), MIN_RETRY_SHARE * time_to_poll_ns)
-        return min(spread_ns, self._max_spread(time_to_poll_ns, share))
-
-    def _max_spread(self, time_to_poll_ns: float, share: float) -> float:
-        """Return a share of the time in which the next poll must begin; more of it in a large fleet."""
-        fleet_spread_ns = self._fleet_spread(LEAST_SPREAD_PER_SIDECAR)
-        return max(share * time_to_poll_ns, min(fleet_spread_ns, time_to_poll_ns))
-
-    def _time_to_poll(self, deadline_ns: int) -> float:
-        """Return the time in which the next poll must begin; a drain counts as notified in `deadline_ns`."""
-        settings = self.context.settings
-        time_ns = deadline_ns + settings.drain_grace_ns - POLL_TIMEOUT_NS
-        return min(time_ns, MAX_POLL_SPREAD * settings.polling_interval_ns)
+        left_ns = self.deadline.time_left_ns(self.context.now)
+        latest_ns = left_ns - PROMPT_ANSWER_NS
+        retry_period_ns = max(MIN_RETRY_PERIOD_NS, RETRY_PERIOD_PER_FAILURE_NS * self.deadline.failed_polls)
+        if failed_for_ns >= SLOW_FAILURE_NS:
+            delay_ns = self._slow_retry_spread(failure, failed_for_ns, latest_ns)
+        elif left_ns > POLL_TIMEOUT_NS:
+            delay_ns = max((left_ns - POLL_TIMEOUT_NS) * URGENT_SHARE, retry_period_ns - failed_for_ns)
+        else:
+            delay_ns = max(latest_ns * LATE_URGENT_SHARE, retry_period_ns - failed_for_ns)
+        return delay_ns if delay_ns <= latest_ns else None
+
+    def _slow_retry_spread(self, failure: PollFailure, failed_for_ns: int, latest_ns: int) -> float:
+        """Return the span in which to poll again after a slow failure.
+
+        If discovery has too many callers, that is the time after which another slow failure and one more
+        poll fit, or an answer of any length.
+        """
+        spread_ns = SLOW_RETRY_SPREAD_NS
+        if failure is PollFailure.REJECTED_LATE:
+            another_ns = latest_ns - max(failed_for_ns + SLOW_RETRY_SPREAD_NS, POLL_TIMEOUT_NS)
+            spread_ns = max(spread_ns, min(self._for_fleet(FIRST_POLL_SPREAD_PER_SIDECAR_NS), another_ns))
+        return max(min(spread_ns, latest_ns), MIN_RETRY_DELAY_NS)
 
-    def _fleet_spread(self, per_sidecar: float) -> float:
-        """Return the span over which a fleet of this size spreads one poll of each sidecar."""
-        settings = self.context.settings
-        return max(self._min_spread(), per_sidecar * settings.fleet_size * settings.polling_interval_ns)
+    def _steady_delay(self, failed_for_ns: int) -> float:
+        """Return the delay with which polls that go on failing begin at a steady period.
 
-    def _min_spread(self) -> float:
-        return MIN_POLL_SPREAD * self.context.settings.polling_interval_ns
+        Discovery may return just after a poll has begun. With a part of the time until the list is due as the
+        period, the last poll of that part is still answered in time although the others fail.
+        """
+        window_ns = self.deadline.window_ns
+        longest_ns = window_ns - POLL_TIMEOUT_NS  # with a longer period, one poll alone might be late
+        two_polls_ns = (window_ns - PROMPT_ANSWER_NS) / 2
+        three_polls_ns = (window_ns - PROMPT_ANSWER_NS) / 3
+        fleet_period_ns = self._for_fleet(LEAST_PERIOD_PER_SIDECAR_NS)
+        crowded_period_ns = self._for_fleet(CROWDED_PERIOD_PER_SIDECAR_NS)
+        least_ns = max(longest_ns / 4, min(fleet_period_ns, longest_ns))
+        if failed_for_ns < SLOW_FAILURE_NS:
+            wanted_ns: float = self._for_fleet(STEADY_PERIOD_PER_SIDECAR_NS)
+            most_ns = three_polls_ns if fleet_period_ns <= three_polls_ns else two_polls_ns
+        elif crowded_period_ns <= longest_ns:
+            wanted_ns = most_ns = crowded_period_ns
+        else:
+            wanted_ns = most_ns = two_polls_ns
+        period_ns = max(min(wanted_ns, most_ns), least_ns)
+        return max(period_ns - failed_for_ns, MIN_RETRY_DELAY_NS)
+
+    def _refused_period(self) -> float:
+        period_ns = max(self._for_fleet(REFUSED_PERIOD_PER_SIDECAR_NS), MIN_RETRY_PERIOD_NS)
+        return min(period_ns, MAX_REFUSED_PERIOD_NS)
+
+    def _for_fleet(self, per_sidecar_ns: int) -> int:
+        """Return the time for all sidecars of the fleet together."""
+        return per_sidecar_ns * self.context.settings.fleet_size
 
     def _reset(self) -> None:
-        self.poll_started_at = self.context.now
-        self.scheduled_polls, self.spread_ns = 0, 0.0
-        self.urgent_retries, self.list_due_at = URGENT_RETRIES, 0
+        self.poll_started_at = self.previous_poll_started_at = self.context.now
+        self.scheduled_polls = 0
+        self.is_steady = False
+        self.deadline.list_received()
 
-    def _schedule(self, span_ns: float, not_after: int = 0) -> None:
-        """Schedule a poll within a span, and by `not_after` if that is given."""
-        if not self.context.settings.polling_required:
+    def _schedule(self, delay_ns: float, min_jitter: float, not_after: int = 0) -> None:
+        """Schedule a poll after `min_jitter` to 1 times a delay, and by `not_after` if that is given."""
+        settings = self.context.settings
+        if not settings.polling_required:
             return
-        is_steady = self.spread_ns >= span_ns and self.urgent_retries <= 0
-        min_delay = MIN_STEADY_POLL_DELAY if is_steady else MIN_POLL_DELAY
-        self.spread_ns = span_ns
+        delay_ns = min(delay_ns, MAX_DELAY_SHARE * settings.polling_interval_ns)
         self.scheduled_polls += 1
-        self.poll_at = self.context.now + int(span_ns * self.context.random.uniform(min_delay, 1.0)) + 1
+        self.poll_at = self.context.now + int(delay_ns * self.context.random.uniform(min_jitter, 1.0)) + 1
         if not_after:
             self.poll_at = min(self.poll_at, not_after)
         self.context.schedule(ScheduledTimer(self.poll_at, POLL))
--- a/tests/test_discovery_recovery.py
+++ b/tests/test_discovery_recovery.py
@@ -15,6 +15,7 @@
 from net_helpers import HOST, endpoint_update, entry
 
 from ochreflow import Balancer
+from ochreflow.core.call_failures import CONNECT_FAILED, CONNECTION_REFUSED
 from ochreflow.core.endpoints import EndpointIds
 from ochreflow.http.discovery_transport import CONNECT_TIMEOUT_S
 from ochreflow.membership import discovery
@@ -25,7 +26,7 @@
     NOTIFIED_AFTER_S,
     long_poll_timeouts,
 )
-from ochreflow.policy import poll_schedule
+from ochreflow.policy import list_deadline
 from ochreflow.policy.interface import ListKind, Membership, SetTimer, Timer, Watch
 
 NS_PER_S = 1_000_000_000
@@ -121,12 +122,14 @@
             self.complete_list_request_times.append(self.loop.now)
         if self.behaviour == "up" and not self.serves_complete_lists and request.after is None:
             return  # no answer
-        if self.behaviour in ("refused", "503"):
-            self.loop.call_soon(request.end, None, self.behaviour)
+        if self.behaviour == "refused":
+            self.loop.call_soon(request.end, None, CONNECTION_REFUSED)
+        elif self.behaviour == "503":
+            self.loop.call_soon(request.end, None, "answer 503")
         elif self.behaviour == "late 503":
             self.loop.call_later(MAX_ANSWER_S, request.end, None, "503")
         elif self.behaviour == "never up":
-            self.loop.call_later(CONNECT_TIMEOUT_S, request.end, None, "CONNECT_FAILED")
+            self.loop.call_later(CONNECT_TIMEOUT_S, request.end, None, CONNECT_FAILED)
         elif self.behaviour == "up":
             self._process(request)
 
@@ -230,6 +233,7 @@
             on_relocated=lambda: self.post(Membership(ListKind.RELOCATED, 0, [])),
             pushed=pushed,
             timeouts=long_poll_timeouts(grace_ns),
+            on_failure=lambda failure: self.post(Membership(ListKind.FAILED, 0, [], failure)),
         )
         self.post(Membership(ListKind.CACHED, known, []))
 
@@ -245,9 +249,6 @@
                 self.loop.call_later(after, self.post, Timer(action.token))
 
     def on_update(self, update):
-        if update is None:
-            self.post(Membership(ListKind.FAILED, 0, []))
-            return
         self.notified_at.setdefault(update.version, self.loop.now)
         self.post(update.to_membership())
 
@@ -441,9 +442,9 @@
 
 
 def test_timeouts_of_the_policy_the_client_and_the_protocol_agree():
-    assert poll_schedule.POLL_TIMEOUT_NS == NOTIFIED_AFTER_S * NS_PER_S == MAX_ANSWER_S * NS_PER_S
+    assert list_deadline.POLL_TIMEOUT_NS == NOTIFIED_AFTER_S * NS_PER_S == MAX_ANSWER_S * NS_PER_S
     assert CONNECT_TIMEOUT_S <= MAX_ANSWER_S < discovery.ANSWER_TIMEOUT_S
-    assert poll_schedule.LIST_DEADLINE_NS == NOTIFIED_IN_S * NS_PER_S
+    assert list_deadline.REACHABLE_NS == NOTIFIED_IN_S * NS_PER_S
 
 
 def test_a_discovery_service_that_drops_requests_for_complete_lists_is_not_polled_too_often():
