Do not give up a call to discovery whose answer is on its way

In the record the sidecar closed every connection 3.51 s after the call, with 576 of 633 bytes written, whatever had arrived; pieces came every 0.1 s, and further calls closed nothing.

Cause: one time limit of 3.5 s for a whole call. When to ask again (2 s) and when to stop waiting are two things.

Change: a call lasts 30 s beyond its wait, three are open at most, and the newest without an answer gives way to a further one. An answer may pause for 2 s, not 1. A late complete list starts the watch at once, in place of waiting for the next complete list.

--- a/ochreflow/core/log.py
+++ b/ochreflow/core/log.py
@@ -27,6 +27,7 @@
     "discovery_polled": "polling discovery: {target}",
     "discovery_failed": "discovery failed: {reason}",
     "discovery_failed_again": "discovery failed again: {reason}",
+    "discovery_request_given_up": "request to discovery given up: {open} are open, and another one is made",
     "discovery_poll_overdue": "discovery has not answered a poll in time: another one is sent beside it",
     "discovery_recovered": "discovery has recovered",
     "inherited_list_invalid": "the inherited endpoint list is invalid: {reason}",
--- a/ochreflow/http/discovery_transport.py
+++ b/ochreflow/http/discovery_transport.py
@@ -7,6 +7,7 @@
 
 from ..core.call_failures import CONNECTION_REFUSED
 from ..core.limits import MB, Descriptors, Memory
+from ..core.log import log
 from ..core.ports import Address
 from ..policy.interface import State, Status
 from .exchange import Exchange
@@ -21,6 +22,9 @@
 MAX_DESCRIPTORS = 1024
 DEFAULT_MEMORY_BYTES = 192 * MB
 SERVICE_ID = 0  # number of the only target
+# Requests that may be open at once: a slow answer is still awaited while another request is made.
+MAX_OPEN_REQUESTS = 3
+RESPONSE_STALL_S = 2.0  # an answer that stalls for longer is given up
 
 
 class EndpointListMemory(Memory):
@@ -56,13 +60,23 @@
         memory = EndpointListMemory(memory or Memory(DEFAULT_MEMORY_BYTES))
         self.max_response_bytes = min(MAX_RESPONSE_BYTES, int(memory.limit * MAX_RESPONSE_SHARE))
         # Each list states its index, so a second copy of an earlier one does no harm.
-        self.upstreams = Upstreams(loop, descriptors, memory, CONNECT_TIMEOUT_S, IDLE_TIMEOUT_S, settle=False)
+        self.upstreams = Upstreams(
+            loop,
+            descriptors,
+            memory,
+            CONNECT_TIMEOUT_S,
+            IDLE_TIMEOUT_S,
+            settle=False,
+            response_stall_s=RESPONSE_STALL_S,
+        )
+        self.open_requests: dict[Exchange, None] = {}  # in the order of their starts
         self.upstreams.update(SERVICE_ID, address, 0, State.READY)
 
     def get(self, target: str, timeout_s: float, done: Callable[[bytes | None, str], None]) -> None:
         """Request `target` once; `done` gets the body of a 200 response, or None and the reason."""
 
-        def ended(_: Exchange, status: Status, response: Response | None) -> None:
+        def ended(exchange: Exchange, status: Status, response: Response | None) -> None:
+            self.open_requests.pop(exchange, None)
             if status is Status.OK and response is not None:
                 done(response.body, "")
             elif response is not None:
@@ -71,7 +85,22 @@
                 done(None, self._reason(status))
 
         head = f"GET {target} HTTP/1.1\r\nHost: {self.host}\r\nAccept: application/json\r\n\r\n".encode()
-        self.upstreams.start(SERVICE_ID, Exchange(lambda: head, ended, self.max_response_bytes), timeout_s)
+        self._make_room()
+        exchange = Exchange(lambda: head, ended, self.max_response_bytes)
+        self.open_requests[exchange] = None
+        self.upstreams.start(SERVICE_ID, exchange, timeout_s)
+
+    def _make_room(self) -> None:
+        """Give up the request that is least likely to be answered next, if too many are open.
+
+        Those whose answer has begun are kept before others, and earlier ones before later ones.
+        """
+        if len(self.open_requests) < MAX_OPEN_REQUESTS:
+            return
+        newest_first = list(reversed(self.open_requests))
+        given_up = next((exchange for exchange in newest_first if not exchange.responding), newest_first[0])
+        log.info("discovery_request_given_up", open=len(newest_first), responding=given_up.responding)
+        given_up.give_up(Status.CANCELLED)
 
     def _reason(self, status: Status) -> str:
         """Return why a request got no response."""
--- a/ochreflow/http/exchange.py
+++ b/ochreflow/http/exchange.py
@@ -43,6 +43,11 @@
         """Whether part of the request is yet to be passed to the kernel; the request cannot have run then."""
         ...
 
+    @property
+    def responding(self) -> bool:
+        """Whether part of the response has arrived."""
+        ...
+
     @property
     def arrived(self) -> bool:
         """Whether the server's host has acknowledged the whole request."""
@@ -123,6 +128,11 @@
         """Whether the kernel has accepted the first byte of the request."""
         return self.connection is not None
 
+    @property
+    def responding(self) -> bool:
+        """Whether part of the response has arrived."""
+        return self.connection is not None and self.connection.responding
+
     @property
     def may_run(self) -> bool:
         """Whether the kernel has accepted the last byte of the request."""
--- a/ochreflow/http/upstream.py
+++ b/ochreflow/http/upstream.py
@@ -17,7 +17,7 @@
 from .exchange import Exchange
 from .read_scheduler import ReadScheduler
 from .running_clock import RunningClock
-from .upstream_connection import CONNECTION_BYTES, Connection, Target
+from .upstream_connection import CONNECTION_BYTES, RESPONSE_STALL_TIMEOUT_S, Connection, Target
 
 # Time after a refused connection, and after a rejection of the first request on one, in which no spare ones
 # are opened to that server. A server may reject for want of connections or of anything else.
@@ -47,12 +47,15 @@
         read_scheduler: ReadScheduler | None = None,
         *,
         settle: bool = True,
+        response_stall_s: float = RESPONSE_STALL_TIMEOUT_S,
     ) -> None:
         """Start without servers; times are in seconds. Without a `read_scheduler`, the pool has its own.
 
-        Without `settle`, idle connections are used again at once: see `IdleConnections`.
+        A buffered response may stall for `response_stall_s` before it is given up. Without `settle`, idle
+        connections are used again at once: see `IdleConnections`.
         """
         self.settle = settle
+        self.response_stall_s = response_stall_s
         self.loop = loop
         self.read_scheduler = read_scheduler or ReadScheduler(loop)
         self.descriptors = descriptors
--- a/ochreflow/http/upstream_connection.py
+++ b/ochreflow/http/upstream_connection.py
@@ -35,6 +35,7 @@
     loop: asyncio.AbstractEventLoop
     memory: Memory
     read_scheduler: ReadScheduler
+    response_stall_s: float  # time for which a buffered response may stall
 
     def release(self, connection: Connection) -> None:
         """Return a connection to the pool, so that another exchange can use it once it is settled."""
@@ -111,6 +112,11 @@
         """Whether it has carried a response; if not, a failure may mean that its server accepts no more."""
         return self.answered_at > -math.inf
 
+    @property
+    def responding(self) -> bool:
+        """Whether part of the response to the open request has arrived."""
+        return self.last_read > 0.0
+
     @property
     def arrived(self) -> bool:
         """Whether the server's host has acknowledged the whole request."""
@@ -200,7 +206,7 @@
 
     def _watch_for_stall(self) -> None:
         """Give up a response that stalls; otherwise the exchange would wait until its deadline."""
-        timeout_s = RELAY_STALL_TIMEOUT_S if self.response.relaying else RESPONSE_STALL_TIMEOUT_S
+        timeout_s = RELAY_STALL_TIMEOUT_S if self.response.relaying else self.pool.response_stall_s
         # While the sidecar itself does not read, the server is not silent.
         not_read = self.stream.waits_to_read or (self.exchange is not None and self.exchange.paused)
         silent_s = 0.0 if not_read else monotonic() - self.last_read
--- a/ochreflow/membership/discovery.py
+++ b/ochreflow/membership/discovery.py
@@ -26,7 +26,9 @@
     from .transport import DiscoveryTransport
 
 COMPLETE_LIST_PATH = "/api/targets"
-ANSWER_TIMEOUT_S = 3.5  # added to a poll's wait, since discovery processes its requests one at a time
+# Longest time of a call, added to a poll's wait: discovery processes its requests one at a time, and answers
+# may arrive in pieces. Another call is made long before that, but a late answer is still applied.
+ANSWER_TIMEOUT_S = 30.0
 MIN_POLL_INTERVAL_S = 0.1  # least time between polls that are answered immediately without changes
 FAILURE_OF_REASON = {
     CONNECTION_REFUSED: PollFailure.REFUSED,
@@ -78,6 +80,7 @@
         # The answer to a poll of an earlier generation is still applied, but no poll follows it.
         self.watch_generation = 0
         self.stall_timer = StallTimer(loop)  # runs while the latest poll is unanswered
+        self.polling_complete = False  # whether the latest poll asks for a complete list
         self.polled_at = 0.0  # time of the latest poll, on the loop's clock, in seconds
         self.requested_at = loop.time()  # time of the latest call, on the loop's clock, in seconds
         self.failures = 0  # calls that have failed since the last answer
@@ -141,7 +144,7 @@
         if generation != self.watch_generation:
             return
         self.polled_at = self.loop.time()
-        complete = self.resync_pending or self.version is None
+        complete = self.polling_complete = self.resync_pending or self.version is None
         target, wait_s = COMPLETE_LIST_PATH, 0.0
         if not complete:
             target += f"?after={self.version}&wait_ms={self.timeouts.wait_ms}"
@@ -163,11 +166,12 @@
         if not complete:
             self._start_generation(resync=True)
             return
-        if self.resync_pending:
-            # After the failure reported below, the balancer polls again only after a delay, which may be too
-            # late to notice a drain. One more request sent now can be answered in the rest of the time.
-            self._request(COMPLETE_LIST_PATH, ANSWER_TIMEOUT_S, partial(self._on_poll_answer, generation))
+        resync_stalled = self.resync_pending
         self._on_failure(NO_ANSWER)
+        if resync_stalled:
+            # After this failure, the balancer polls again only after a delay, which may be too late to notice
+            # a drain. One more request sent now can be answered in the rest of the time.
+            self._request(COMPLETE_LIST_PATH, ANSWER_TIMEOUT_S, partial(self._on_poll_answer, generation))
 
     def _on_poll_answer(self, generation: int, update: EndpointUpdate | None, reason: str) -> None:
         if generation != self.watch_generation:
@@ -198,10 +202,15 @@
 
     def _accept_late(self, update: EndpointUpdate) -> None:
         """Apply a late answer to a stalled poll, since discovery counts this sidecar as notified."""
+        complete_requested = self.version is None
         try:
             self._accept(update)
         finally:
-            self.watch(on=True)  # from this update on, the balancer relies on a running watch
+            # From this update on, the balancer relies on a running watch.
+            if self.watching and self.polling_complete and complete_requested:
+                self._start_generation(resync=False)
+            else:
+                self.watch(on=True)
 
     # Requests and their answers
 
--- a/ochreflow/membership/transport.py
+++ b/ochreflow/membership/transport.py
@@ -10,7 +10,10 @@
 
 
 class DiscoveryTransport(Protocol):
-    """Sends requests to the discovery at one address."""
+    """Sends requests to the discovery at one address.
+
+    A request may be given up for a newer one if too many are open.
+    """
 
     def get(self, target: str, timeout_s: float, on_answer: AnswerHandler, /) -> None:
         """Send a GET request; `on_answer` is called exactly once, within `timeout_s` seconds."""
