--- a/ochreflow/policy/poll_schedule.py
+++ b/ochreflow/policy/poll_schedule.py
@@ -17,7 +17,7 @@
 # in which it must begin only in large fleets.
 FIRST_POLL_SPREAD_PER_SIDECAR_NS = 70 * MS
 LEAST_FIRST_SPREAD_PER_SIDECAR_NS = 18 * MS
-FIRST_POLL_SHARE = 0.65
+FIRST_POLL_SHARE = 0.7
 MIN_SPREAD_NS = 500 * MS
 MAX_DELAY_SHARE = 0.6  # longest delay of a poll, as a share of the interval within which a sidecar must poll
 
@@ -27,7 +27,8 @@
 RETRY_PERIOD_PER_FAILURE_NS = 200 * MS
 SLOW_RETRY_SPREAD_NS = 300 * MS  # of the next poll after a slow failure
 MIN_RETRY_DELAY_NS = 100 * MS  # least time between the end of a failed poll and the next one
-URGENT_SHARE = 0.4  # a retry takes this part of the time in which an answer of any length is in time
+URGENT_SHARE = 0.5  # a retry takes this part of the time in which an answer of any length is in time
+CROWDED_URGENT_SHARE = 0.4  # the same after a slow failure, of the time after which another one fits
 LATE_URGENT_SHARE = 0.5  # the same once only a prompt answer is in time
 REFUSED_PERIOD_PER_SIDECAR_NS = 10 * MS  # while connections are refused: a poll costs discovery nothing
 MAX_REFUSED_PERIOD_NS = 2 * SECOND
@@ -42,7 +43,7 @@
 
 # Least delay as a share of the greatest one: all sidecars that had a common failure must not poll together.
 MIN_FIRST_JITTER = 0.1
-MIN_RETRY_JITTER = 0.7
+MIN_RETRY_JITTER = 0.1
 MIN_CROWDED_JITTER = 0.85  # once the period is steady, while polls fail slowly
 MIN_STEADY_JITTER = 0.95  # once the period is steady: polls are spread by then, and fewer are enough
 
@@ -147,7 +148,8 @@
         spread_ns = SLOW_RETRY_SPREAD_NS
         if failure is PollFailure.REJECTED_LATE:
             another_ns = latest_ns - max(failed_for_ns + SLOW_RETRY_SPREAD_NS, POLL_TIMEOUT_NS)
-            spread_ns = max(spread_ns, min(self._for_fleet(FIRST_POLL_SPREAD_PER_SIDECAR_NS), another_ns))
+            fleet_spread_ns = self._for_fleet(FIRST_POLL_SPREAD_PER_SIDECAR_NS)
+            spread_ns = max(spread_ns, min(fleet_spread_ns, int(another_ns * CROWDED_URGENT_SHARE)))
         return max(min(spread_ns, latest_ns), MIN_RETRY_DELAY_NS)
 
     def _steady_delay(self, failed_for_ns: int) -> float:
--- a/tests/test_list_deadline.py
+++ b/tests/test_list_deadline.py
@@ -45,7 +45,7 @@
 @pytest.mark.parametrize("fleet", [4, 30, 200])
 @pytest.mark.parametrize(("failing_s", "count"), [(0.003, 2), (2.0, 1)], ids=["two-at-once", "one-late"])
 def test_after_refused_connections_failed_calls_are_repeated_in_time(
-    quiet_log,  # noqa: F811
+    quiet_log,  # noqa: F811 - the fixture
     failing_s,
     count,
     fleet,
@@ -60,7 +60,7 @@
 @pytest.mark.parametrize("fleet", [4, 30, 100, 200])
 @pytest.mark.parametrize("behaviour", ["503", "late 503", "never up"])
 def test_after_other_outages_one_more_failed_call_is_repeated_in_time(
-    quiet_log,  # noqa: F811
+    quiet_log,  # noqa: F811 - the fixture
     behaviour,
     fleet,
     grace,
