Pass on what discovery tells one process of a sidecar to its other processes

In the record discovery had written the drain to the old process 2.4 to 4.9 s before it rejected the first call of the new one.

Cause: a process handed its endpoint list over once, in the greeting of the link; later changes were not passed on.

Change: each list in effect is passed on as a complete list with its origin, which says which of two lists is newer, also after discovery has moved or its versions have begun again. A process that is told of a newer address follows it. Links have a heartbeat; a process that can't be told polls soon. Earlier versions ignore the new keys.

--- a/ochreflow/app/config.py
+++ b/ochreflow/app/config.py
@@ -4,7 +4,8 @@
 
 import json
 import os
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from time import monotonic_ns
 from typing import Any
 
 from ..core.address import split_address
@@ -42,6 +43,7 @@
     transport: Transport
     endpoint_ids: EndpointIds
     cached_list: EndpointUpdate  # used until discovery has answered
+    read_ns: int = field(default_factory=monotonic_ns)  # when the file was read
 
 
 def read_config(path: str | None) -> Config:
--- a/ochreflow/app/hot_restart.py
+++ b/ochreflow/app/hot_restart.py
@@ -18,7 +18,8 @@
 from ..core.limits import Usage
 from ..core.log import log
 from ..core.request_ids import RequestIdRegistries
-from .hot_restart_form import NO_USAGE, Inheritance, format_usage
+from .endpoint_list_sharing import EndpointListSharing
+from .hot_restart_form import NO_INHERITANCE, NO_USAGE, Inheritance, format_usage
 from .hot_restart_link import Link
 from .request_id_sharing import RequestIdSharing
 
@@ -32,6 +33,8 @@
 # A process starts without the greetings that arrive later. Until one arrives, the request ids of its sender
 # are unknown.
 GREETING_TIMEOUT_S = 1.0
+HEARTBEAT_INTERVAL_S = 0.5  # longest time without a line to the others
+PEER_TIMEOUT_S = 1.5  # time without a line after which another process may fail to pass on endpoint lists
 SHARE_INTERVAL_S = 0.1  # time between checks whether the usage of this process has changed
 RECONNECT_INTERVAL_S = 0.05
 
@@ -57,19 +60,22 @@
         self.directory = Path(directory)
         self.usage = usage
         self.own_inheritance = own_inheritance
+        self.lists: EndpointListSharing | None = None  # set by `share_lists`
         self.known_clients: list[object] = []  # snapshots received from the other processes at the start
         self.process_id = process_id or int.from_bytes(os.urandom(PROCESS_ID_BYTES), "big")
         self.sharing = RequestIdSharing(self.process_id, request_ids or RequestIdRegistries())
         self.reconnecting: set[asyncio.Task[None]] = set()
         self.closed = False
+        self.inherited = NO_INHERITANCE  # the newest list of another process at the start
         self.path = self.directory / f"{SOCKET_PREFIX}{self.process_id}{SOCKET_SUFFIX}"
         self.server: asyncio.Server | None = None
         self.links: dict[Link, None] = {}
         self.last_shared_usage: tuple[int, ...] = ()  # usage last sent to the other processes
+        self.last_shared_at = 0.0  # when that was, on the loop's clock, in seconds
         self.timer: asyncio.TimerHandle | None = None
 
     async def start(self) -> object:
-        """Listen, link to the other processes, and return the endpoint list of one of them, or None."""
+        """Listen, link to the other processes, and return the newest of their endpoint lists, or None."""
         if len(os.fsencode(self.path)) > MAX_PATH_BYTES:
             log.warning("hot_restart_unavailable", reason=f"the socket path {self.path} is too long")
             return None
@@ -84,9 +90,44 @@
             await asyncio.wait([link.greeted for link in links], timeout=GREETING_TIMEOUT_S)
         inheritances = [link.inheritance for link in links]
         self.known_clients = [item.known_clients for item in inheritances if item.known_clients is not None]
-        endpoint_lists = [item.endpoint_list for item in inheritances if item.endpoint_list is not None]
+        self.inherited = _newest(inheritances)
         self._share_usage()
-        return endpoint_lists[-1] if endpoint_lists else None
+        return self.inherited.endpoint_list
+
+    # Endpoint lists
+
+    def share_lists(self, lists: EndpointListSharing) -> None:
+        """Exchange endpoint lists with the other processes from now on."""
+        self.lists = lists
+        lists.on_change = self._send_list
+        for link in list(self.links):
+            if link.process_id is not None:
+                self.list_received(link)
+            link.send_list()
+
+    def list_received(self, link: Link) -> None:
+        """Apply the list of another process, unless it is older than the own one."""
+        inheritance = link.inheritance
+        if self.lists is None:
+            return
+        if inheritance.origin is not None:
+            self.lists.on_shared_list(inheritance.endpoint_list, inheritance.origin)
+        elif inheritance.endpoint_list is not None and not link.silent:
+            link.silent = True  # a process of an earlier version, which does not pass on its lists
+            self.lists.on_peer_silent()
+
+    def _send_list(self) -> None:
+        for link in list(self.links):
+            link.send_list()
+
+    def _detect_silent_peers(self) -> None:
+        """Notice another process that may not pass on endpoint lists, since nothing was heard of it."""
+        heard_before = self.loop.time() - PEER_TIMEOUT_S
+        for link in list(self.links):
+            if link.process_id is not None and not link.silent and link.heard_at < heard_before:
+                link.silent = True
+                if self.lists is not None:
+                    self.lists.on_peer_silent()
 
     @property
     def processes(self) -> int:
@@ -114,6 +155,7 @@
     async def _reconnect(self, process_id: int) -> None:
         """Link to a process again, or record that it has ended."""
         path = self.directory / f"{SOCKET_PREFIX}{process_id}{SOCKET_SUFFIX}"
+        reported = False  # whether the balancer knows that the other process can't be heard
         while self.sharing.is_unlinked(process_id):
             try:
                 link = await self._open_link(path)
@@ -122,6 +164,9 @@
                 self.sharing.gone(process_id)
                 return
             except (OSError, TimeoutError):
+                if self.lists is not None and not reported:
+                    reported = True
+                    self.lists.on_peer_silent()
                 await asyncio.sleep(RECONNECT_INTERVAL_S)
                 continue
             await link.greeted  # also if the link has ended
@@ -162,14 +207,29 @@
     def _share_usage(self) -> None:
         """Notify the others of the own usage if it has changed, and schedule the next check."""
         self.sharing.tick()
-        usage = self.own_usage()
-        if usage != self.last_shared_usage and self.links:
-            self.last_shared_usage = usage
+        self._detect_silent_peers()
+        usage, now = self.own_usage(), self.loop.time()
+        is_due = usage != self.last_shared_usage or now - self.last_shared_at >= HEARTBEAT_INTERVAL_S
+        if is_due and self.links:
+            self.last_shared_usage, self.last_shared_at = usage, now
             for link in list(self.links):
                 link.write(format_usage(usage))
         self.timer = self.loop.call_later(SHARE_INTERVAL_S, self._share_usage)
 
 
+def _newest(inheritances: list[Inheritance]) -> Inheritance:
+    """Return the one with the newest list; lists of earlier versions, without an origin, come last."""
+    newest = NO_INHERITANCE
+    for item in inheritances:
+        if item.endpoint_list is None:
+            continue
+        if item.origin is None:
+            newest = item if newest.origin is None else newest
+        elif newest.origin is None or item.origin.is_newer_than(newest.origin):
+            newest = item
+    return newest
+
+
 def _remove_file(path: Path) -> None:
     with contextlib.suppress(OSError):
         path.unlink()
--- a/ochreflow/app/hot_restart_link.py
+++ b/ochreflow/app/hot_restart_link.py
@@ -4,19 +4,23 @@
 
 import asyncio
 import json
+from dataclasses import replace
 from typing import Any, Protocol, cast
 
 from ..core.log import log
+from .endpoint_list_sharing import EndpointListSharing
 from .hot_restart_form import (
     INVALID_MESSAGE_ERRORS,
     MAX_LINE_BYTES,
     NO_USAGE,
     Inheritance,
     format_greeting,
+    format_list,
     format_usage,
     is_greeting,
     parse_greeting_ids,
     parse_inheritance,
+    parse_list,
     parse_message_ids,
     parse_process_id,
     parse_usage,
@@ -32,6 +36,7 @@
     process_id: int
     links: dict[Link, None]
     sharing: RequestIdSharing
+    lists: EndpointListSharing | None
 
     def own_inheritance(self) -> Inheritance:
         """Return the state that this process hands over to a new one."""
@@ -45,6 +50,10 @@
         """Handle a change in the usage of another process."""
         ...
 
+    def list_received(self, link: Link) -> None:
+        """Handle the endpoint list in `inheritance` of a link."""
+        ...
+
     def link_ended(self, link: Link) -> None:
         """Handle the end of a link, after which the other process may still run."""
         ...
@@ -61,6 +70,10 @@
         self.process_id: int | None = None  # of the other process; known once its greeting has come
         self.inheritance = Inheritance(None, None)
         self.usage = NO_USAGE
+        self.heard_at = owner.loop.time()  # when the latest line came, on the loop's clock, in seconds
+        self.silent = False  # whether the other process is known to tell nothing of the endpoint list
+        self.blocked = False  # whether the other process has not read all lines
+        self.list_pending = False  # whether a newer list is to be sent once it has
         self.greeted: asyncio.Future[None] = owner.loop.create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -77,6 +90,9 @@
     def data_received(self, data: bytes) -> None:
         """Apply all complete lines; close the link at the first invalid one."""
         self.buffer += data
+        self.heard_at = self.owner.loop.time()
+        if self.inheritance.origin is not None:  # a process of an earlier version stays silent on lists
+            self.silent = False
         while (end := self.buffer.find(b"\n")) >= 0:
             line = bytes(self.buffer[:end])
             del self.buffer[: end + 1]
@@ -103,6 +119,22 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(line)
 
+    def pause_writing(self) -> None:
+        """Hold back endpoint lists: the other process does not read."""
+        self.blocked = True
+
+    def resume_writing(self) -> None:
+        """Send the latest endpoint list that was held back."""
+        self.blocked = False
+        if self.list_pending:
+            self.send_list()
+
+    def send_list(self) -> None:
+        """Send the endpoint list in effect, now or once the other process has read the lines before."""
+        self.list_pending = self.blocked
+        if not self.blocked and self.owner.lists is not None:
+            self.write(format_list(self.owner.own_usage(), *self.owner.lists.snapshot()))
+
     def send_ids(self, message: IdMessage) -> None:
         """Send a message on request ids."""
         self.write(format_usage(self.owner.own_usage(), message))
@@ -121,11 +153,21 @@
                 self.owner.sharing.linked(self.process_id, greeting_ids, self)
             log.info("hot_restart_peer_connected", process=self.process_id)
             self._resolve_greeted()
-        elif self.process_id is not None and (ids := parse_message_ids(message)) is not None:
-            self.owner.sharing.received(self.process_id, ids)
+            self.owner.list_received(self)
+        elif self.process_id is not None:
+            self._apply_later_message(self.process_id, message)
         self.usage = parse_usage(message)
         self.owner.update_others()
 
+    def _apply_later_message(self, process_id: int, message: dict[str, Any]) -> None:
+        ids, shared = parse_message_ids(message), parse_list(message)
+        if ids is not None:
+            self.owner.sharing.received(process_id, ids)
+        if shared is not None:
+            endpoint_list, origin = shared
+            self.inheritance = replace(self.inheritance, endpoint_list=endpoint_list, origin=origin)
+            self.owner.list_received(self)
+
     def _resolve_greeted(self) -> None:
         if not self.greeted.done():
             self.greeted.set_result(None)
--- a/ochreflow/app/inherited.py
+++ b/ochreflow/app/inherited.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import socket
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
-from ..core.endpoints import EndpointIds, EndpointUpdate
+from ..core.endpoints import EndpointUpdate
 from ..core.log import log
+from ..core.ports import Address
 from ..membership.endpoint_list import EndpointListError, parse_endpoint_update
-from .config import ConfigError
+from ..membership.list_origin import CACHED, ListOrigin
+from .config import Config, ConfigError
+
+if TYPE_CHECKING:
+    from .hot_restart_form import Inheritance
 
 
 def inherited_socket(descriptor: str | None) -> socket.socket | None:
@@ -40,15 +47,42 @@
     return sock
 
 
-def inherited_endpoint_list(data: object, ids: EndpointIds) -> EndpointUpdate | None:
+@dataclass(frozen=True, slots=True)
+class InheritedList:
+    """An endpoint list with which a process starts, and where it comes from."""
+
+    update: EndpointUpdate
+    origin: ListOrigin
+
+
+def inherited_endpoint_list(inheritance: Inheritance, config: Config) -> InheritedList | None:
     """Return the endpoint list of another process; None if there is none or if it is invalid.
 
-    The list of a running process is more recent than that of the configuration.
+    The list of a running process is more recent than that of the configuration. A process of an earlier
+    version does not say where its list comes from: that is taken to be the address of the configuration.
     """
-    if data is None:
+    if inheritance.endpoint_list is None:
         return None
     try:
-        return parse_endpoint_update(data, ids)
+        update = parse_endpoint_update(inheritance.endpoint_list, config.endpoint_ids)
     except EndpointListError as error:
         log.warning("inherited_list_invalid", reason=str(error))
         return None
+    origin = inheritance.origin or ListOrigin(config.discovery, 0, 0, update.version)
+    return InheritedList(update, origin)
+
+
+def configured_list(config: Config) -> InheritedList:
+    """Return the list of the configuration, which any list of discovery replaces."""
+    update = config.cached_list
+    return InheritedList(update, ListOrigin(config.discovery, 0, CACHED, update.version))
+
+
+def address_in_use(config: Config, known: InheritedList) -> tuple[Address, int]:
+    """Return the address of discovery to use, and since when it is in use.
+
+    Another process may have adopted its address after the configuration of this one was read.
+    """
+    if known.origin.adopted_ns > config.read_ns:
+        return known.origin.address, known.origin.adopted_ns
+    return config.discovery, config.read_ns
--- a/ochreflow/app/process.py
+++ b/ochreflow/app/process.py
@@ -14,7 +14,6 @@
 
 import uvloop
 
-from ..core.endpoints import EndpointUpdate
 from ..core.limits import Descriptors, Memory, Usage
 from ..core.log import log
 from ..core.ports import Address
@@ -22,7 +21,7 @@
 from ..http.acceptor import Acceptor
 from ..http.management import Management
 from .config import Config, ConfigError, read_config
-from .inherited import inherited_endpoint_list, inherited_socket
+from .inherited import InheritedList, inherited_endpoint_list, inherited_socket
 from .options import Options
 from .reload import Reloader
 from .resident_memory import resident_bytes
@@ -60,10 +59,11 @@
 
         `path` names the platform's configuration.
         """
-        endpoint_list = await self._start_hot_restart()
-        sidecar = self.sidecar = Sidecar(self.loop, self.config, self.usage, endpoint_list, self.request_ids)
+        inherited = await self._start_hot_restart()
+        sidecar = self.sidecar = Sidecar(self.loop, self.config, self.usage, inherited, self.request_ids)
         if self.hot_restart is not None:
             sidecar.engine.requests.arbiter = self.hot_restart.sharing
+            self.hot_restart.share_lists(sidecar.lists)
         management = self.management = Management(self.loop, sidecar.engine)
         reloader = Reloader(self.loop, sidecar, management, self.options, path)
         reloader.apply_options(self.options, self.options.sink())
@@ -92,7 +92,7 @@
             self.hot_restart.close()
         self.sidecar.close()
 
-    async def _start_hot_restart(self) -> EndpointUpdate | None:
+    async def _start_hot_restart(self) -> InheritedList | None:
         """Link to the other processes, and return the endpoint list that one of them hands over, or None."""
         directory = os.environ.get("TMPDIR")
         if self.inherited is None or not directory:
@@ -102,7 +102,8 @@
         self.hot_restart = HotRestart(
             self.loop, directory, self.usage, self._own_inheritance, request_ids=self.request_ids
         )
-        return inherited_endpoint_list(await self.hot_restart.start(), self.config.endpoint_ids)
+        await self.hot_restart.start()
+        return inherited_endpoint_list(self.hot_restart.inherited, self.config)
 
     def _own_inheritance(self) -> Inheritance:
         """Return the state that this process hands over to a new one."""
@@ -110,7 +111,8 @@
 
         if self.sidecar is None:
             return Inheritance(None, None)
-        return Inheritance(self.sidecar.format_endpoint_list(), self.sidecar.known_clients())
+        endpoint_list, origin = self.sidecar.lists.snapshot()
+        return Inheritance(endpoint_list, self.sidecar.known_clients(), origin)
 
     def _restore_known_clients(self, sidecar: Sidecar) -> None:
         admission = sidecar.http.clients.admission
--- a/ochreflow/app/sidecar.py
+++ b/ochreflow/app/sidecar.py
@@ -6,10 +6,8 @@
 import resource
 from functools import partial
 from time import monotonic
-from typing import Any
 
 from ..core.clock import NS_PER_S
-from ..core.endpoints import EndpointUpdate
 from ..core.engine import Engine
 from ..core.limits import Descriptors, Memory, Usage
 from ..core.request_ids import RequestIdRegistries
@@ -19,9 +17,10 @@
 from ..http.upstream import Upstreams
 from ..http.upstream_transport import HttpUpstreamTransport
 from ..membership.discovery import DiscoveryClient
-from ..membership.endpoint_list import format_endpoint_list
 from ..membership.timeouts import long_poll_timeouts
 from .config import Config
+from .endpoint_list_sharing import EndpointListSharing
+from .inherited import InheritedList, address_in_use, configured_list
 
 CONNECT_TIMEOUT_S = 1.0  # used if the settings contain no connect timeout
 
@@ -40,17 +39,19 @@
         loop: asyncio.AbstractEventLoop,
         config: Config,
         usage: Usage | None = None,
-        cached_list: EndpointUpdate | None = None,
+        inherited: InheritedList | None = None,
         request_ids: RequestIdRegistries | None = None,
     ) -> None:
-        """Create the components and start the core with `cached_list`, by default that of `config`.
+        """Create the components and start the core with the list that is `inherited`, or else configured.
 
         `request_ids` are shared with other processes of this sidecar; by default there are none.
         """
         usage = usage or Usage(Descriptors(config.sockets), Memory(config.memory))
         usage.descriptors.system_limit = system_limit
         usage.descriptors.apply_system_limit()
-        settings, cached_list = config.settings, cached_list or config.cached_list
+        settings = config.settings
+        known = inherited or configured_list(config)
+        discovery_address, adopted_ns = address_in_use(config, known)
         self.endpoint_ids = config.endpoint_ids
         self.engine = Engine(
             loop,
@@ -72,25 +73,23 @@
         )
         self.upstream_transport = HttpUpstreamTransport(self.upstreams, settings.report_columns)
         self.http = HttpFrontend(self.engine, self.upstream_transport, read_scheduler)
+        self.lists = EndpointListSharing(self.engine, config.endpoint_ids, known.origin)
         self.discovery = DiscoveryClient(
             loop,
             partial(HttpDiscoveryTransport, loop, memory=usage.memory),
-            config.discovery,
+            discovery_address,
             config.endpoint_ids,
-            cached_list.version,
-            self.engine.on_endpoint_update,
+            known.update.version,
+            self.lists.on_update,
             on_relocated=self.engine.on_source_relocated,
             pushed=not settings.polling_required,
             timeouts=long_poll_timeouts(settings.drain_grace_ns),
             on_failure=self.engine.on_poll_failed,
         )
-        self.engine.start(self.discovery, cached_list)
-
-    def format_endpoint_list(self) -> dict[str, Any]:
-        """Return the endpoint list for a new process; it may be outdated while this process shuts down."""
-        return format_endpoint_list(
-            self.discovery.version or 0, self.engine.endpoints.listed.values(), self.endpoint_ids
-        )
+        if known.origin.address != discovery_address:
+            self.discovery.require_complete_list()
+        self.lists.use(self.discovery, adopted_ns)
+        self.engine.start(self.discovery, known.update)
 
     def known_clients(self) -> object:
         """Return the snapshot of known client addresses for a new process; None without admission."""
@@ -99,7 +98,7 @@
 
     def reload(self, config: Config) -> None:
         """Apply the only part of the configuration that may change at run time: discovery's address."""
-        self.discovery.switch_address(config.discovery)
+        self.lists.switch_address(config.discovery)
 
     def close(self) -> None:
         """Close all sockets."""
--- a/ochreflow/core/engine.py
+++ b/ochreflow/core/engine.py
@@ -128,6 +128,14 @@
         """Notify the balancer that a poll of the source of the endpoint list has failed."""
         self.dispatcher.dispatch(api.Membership(api.ListKind.FAILED, 0, [], failure))
 
+    def on_shared_list(self, update: EndpointUpdate) -> None:
+        """Apply the complete list of another process of this sidecar."""
+        self._apply(update, api.ListKind.SHARED)
+
+    def on_peer_silent(self) -> None:
+        """Notify the balancer that another process may be notified of changes without passing them on."""
+        self.dispatcher.dispatch(api.Membership(api.ListKind.PEER_SILENT, 0, []))
+
     def on_source_relocated(self) -> None:
         """Notify the balancer that the source of the endpoint list is at another address."""
         self.dispatcher.dispatch(api.Membership(api.ListKind.RELOCATED, 0, []))
--- a/ochreflow/core/log.py
+++ b/ochreflow/core/log.py
@@ -31,6 +31,7 @@
     "discovery_poll_overdue": "discovery has not answered a poll in time: another one is sent beside it",
     "discovery_recovered": "discovery has recovered",
     "inherited_list_invalid": "the inherited endpoint list is invalid: {reason}",
+    "endpoint_list_shared": "version {version} of the endpoint list comes from another process",
     "reload_rejected": "reload rejected, the configuration is unchanged: {reason}",
     "reload_applied": "reload applied: {changed}",
     "hot_restart_unavailable": "other processes of this sidecar can't be found: {reason}",
--- a/ochreflow/membership/discovery.py
+++ b/ochreflow/membership/discovery.py
@@ -94,10 +94,11 @@
         """The version of the known endpoint list; None while a complete list is needed first."""
         return self.answer_order.version
 
-    def switch_address(self, address: Address) -> None:
+    def switch_address(self, address: Address, known: EndpointUpdate | None = None) -> None:
         """Switch to another discovery at once, and request a complete list from it first.
 
         The versions of the new discovery may start again, and answers from the previous address are ignored.
+        Only if its list is `known` from another process, changes of that one are requested.
         The balancer decides when to poll the new address, since all sidecars switch at once; a local agent is
         polled immediately.
         """
@@ -108,12 +109,22 @@
         self.transport = self.create_transport(address)
         old_transport.close()
         self.answer_order.require_complete_list()
+        if known is not None:
+            self.answer_order.accept(known)
         self.watch(on=False)
         if self.pushed:
             self.watch(on=True)
         else:
             self.on_relocated()
 
+    def require_complete_list(self) -> None:
+        """Request a complete list first, since the known one is of another discovery."""
+        self.answer_order.require_complete_list()
+
+    def set_version(self, known: EndpointUpdate) -> None:
+        """Go on from the version of a list of this discovery that another process has received."""
+        self.answer_order.accept(known)
+
     def watch(self, *, on: bool) -> None:
         """Start or stop long polling; do nothing if `on` is the current state."""
         if on == self.watching:
--- a/ochreflow/policy/endpoint_set.py
+++ b/ochreflow/policy/endpoint_set.py
@@ -8,6 +8,7 @@
 from .poll_schedule import PollSchedule
 from .state_records import SECOND, AttemptKey, Context, Server
 
+WITHOUT_ENTRIES = (ListKind.FAILED, ListKind.RELOCATED, ListKind.PEER_SILENT)
 MIN_SUBSET_SIZE = 2  # least number of local servers, and of remote ones: power of two choices needs two
 # A subset holds as many servers as the sidecar has requests in this time, as a multiple of the shortest
 # deadline: each server gets about one request in that time.
@@ -105,14 +106,9 @@
 
     def apply(self, event: Membership) -> float:
         """Apply an endpoint update; return the share of the sampled servers that remains, at most 1."""
-        if event.kind is ListKind.FAILED or event.kind is ListKind.RELOCATED:
-            self._on_subscription_lost(event)
+        self._update_subscription(event)
+        if event.kind in WITHOUT_ENTRIES:
             return 1.0
-        if event.kind is ListKind.CACHED:
-            self.poll_schedule.on_start()
-        else:
-            self.subscribed = True
-            self.poll_schedule.on_list()
         if event.kind is not ListKind.DELTA:
             present = {entry.server for entry in event.entries}
             for known_server in self.servers.values():
@@ -134,12 +130,22 @@
         after = len(self.local) + len(self.remote)
         return after / before if 0 < after < before else 1.0
 
-    def _on_subscription_lost(self, event: Membership) -> None:
-        self.subscribed = False
-        if event.kind is ListKind.RELOCATED:
-            self.poll_schedule.on_relocation()
-        else:
-            self.poll_schedule.on_failure(event.failure)
+    def _update_subscription(self, event: Membership) -> None:
+        """Update whether discovery is watched, and when to poll it; a shared list changes neither."""
+        match event.kind:
+            case ListKind.FULL | ListKind.DELTA:
+                self.subscribed = True
+                self.poll_schedule.on_list()
+            case ListKind.CACHED:
+                self.poll_schedule.on_start()
+            case ListKind.FAILED:
+                self.subscribed = False
+                self.poll_schedule.on_failure(event.failure)
+            case ListKind.RELOCATED:
+                self.subscribed = False
+                self.poll_schedule.on_relocation()
+            case ListKind.PEER_SILENT if not self.subscribed:
+                self.poll_schedule.on_silent_peer()
 
     def poll(self) -> None:
         """Poll discovery, unless a list has arrived since or a later failure has postponed the poll."""
--- a/ochreflow/policy/interface.py
+++ b/ochreflow/policy/interface.py
@@ -55,6 +55,9 @@
     CACHED = 2  # the complete list from a cache; may be stale
     FAILED = 3  # no entries: a fetch failed or the subscription broke
     RELOCATED = 4  # no entries: discovery is at another address, which has not been polled yet
+    SHARED = 5  # the complete list of another process of this sidecar, which was notified of it
+    # No entries: another process of this sidecar may be notified of changes that this one does not learn of.
+    PEER_SILENT = 6
 
 
 class PollFailure(IntEnum):
--- a/ochreflow/policy/list_deadline.py
+++ b/ochreflow/policy/list_deadline.py
@@ -46,6 +46,11 @@
         self.strongest_failure = None
         self.failed_polls = 0
 
+    def bring_forward(self, now: int, notified_ns: int) -> None:
+        """Let the list be due no later than for changes that count as notified in `notified_ns`."""
+        due_at = now + notified_ns + self.settings.drain_grace_ns
+        self.due_at = min(self.due_at or due_at, due_at)
+
     def poll_failed(self, failure: PollFailure, now: int, previous_started_at: int) -> None:
         """Take a failed poll into account; the poll before it began at `previous_started_at`.
 
--- a/ochreflow/policy/poll_schedule.py
+++ b/ochreflow/policy/poll_schedule.py
@@ -8,7 +8,7 @@
 """
 
 from .interface import PollFailure
-from .list_deadline import POLL_TIMEOUT_NS, REACHABLE_NS, RELOCATED_NS, ListDeadline
+from .list_deadline import HANDED_OVER_NS, POLL_TIMEOUT_NS, REACHABLE_NS, RELOCATED_NS, ListDeadline
 from .state_records import POLL, SECOND, Context, ScheduledTimer
 
 MS = SECOND // 1000
@@ -74,6 +74,12 @@
         self._reset()
         self._schedule_first(RELOCATED_NS, not_after=self.poll_at)
 
+    def on_silent_peer(self) -> None:
+        """Poll soon, since another process of this sidecar may be notified in place of this one."""
+        self.deadline.bring_forward(self.context.now, HANDED_OVER_NS)
+        if self.poll_at:
+            self._schedule(self._first_spread(), MIN_FIRST_JITTER, not_after=self.poll_at)
+
     def on_failure(self, failure: PollFailure) -> None:
         """Schedule the next poll after a failed one, or after the subscription broke.
 
@@ -115,13 +121,17 @@
     def _schedule_first(self, notified_ns: int, not_after: int = 0) -> None:
         """Schedule the first poll after an event, from which a drain counts as notified in `notified_ns`."""
         self.deadline.begin(self.context.now, notified_ns)
+        self._schedule(self._first_spread(), MIN_FIRST_JITTER, not_after)
+
+    def _first_spread(self) -> float:
+        """Return the span in which to poll first until the list is due."""
         to_poll_ns = self.deadline.time_left_ns(self.context.now) - POLL_TIMEOUT_NS
         # A slow failure, and a prompt answer to the next poll, still fit into the time after this spread.
         after_failure_ns = to_poll_ns - MIN_RETRY_DELAY_NS - PROMPT_ANSWER_NS
         least_ns = min(self._for_fleet(LEAST_FIRST_SPREAD_PER_SIDECAR_NS), after_failure_ns)
         most_ns = max(FIRST_POLL_SHARE * to_poll_ns, least_ns, MIN_SPREAD_NS)
         wanted_ns = max(self._for_fleet(FIRST_POLL_SPREAD_PER_SIDECAR_NS), MIN_SPREAD_NS)
-        self._schedule(min(wanted_ns, most_ns), MIN_FIRST_JITTER, not_after)
+        return min(wanted_ns, most_ns)
 
     def _urgent_delay(self, failure: PollFailure, failed_for_ns: int) -> float | None:
         """Return the delay of a poll that leaves time for another until the list is due.
