--- a/ochreflow/core/engine.py
+++ b/ochreflow/core/engine.py
@@ -124,9 +124,12 @@
         else:
             self._apply(update)
 
-    def on_poll_failed(self, failure: api.PollFailure) -> None:
-        """Notify the balancer that a poll of the source of the endpoint list has failed."""
-        self.dispatcher.dispatch(api.Membership(api.ListKind.FAILED, 0, [], failure))
+    def on_poll_failed(self, failure: api.PollFailure, notified_ns: int | None) -> None:
+        """Notify the balancer that a poll of the source of the endpoint list has failed.
+
+        `notified_ns` is the time in which missed changes count as notified, if any may have been missed.
+        """
+        self.dispatcher.dispatch(api.Membership(api.ListKind.FAILED, 0, [], failure, notified_ns))
 
     def on_shared_list(self, update: EndpointUpdate) -> None:
         """Apply the complete list of another process of this sidecar."""
--- a/ochreflow/http/discovery_transport.py
+++ b/ochreflow/http/discovery_transport.py
@@ -21,10 +21,13 @@
 MAX_RESPONSE_SHARE = 1 / 24  # share of the memory limit; a parsed list takes several times its text
 MAX_DESCRIPTORS = 1024
 DEFAULT_MEMORY_BYTES = 192 * MB
+AnswerHandler = Callable[[bytes | None, str], None]
 SERVICE_ID = 0  # number of the only target
 # Requests that may be open at once: a slow answer is still awaited while another request is made.
 MAX_OPEN_REQUESTS = 3
-RESPONSE_STALL_S = 2.0  # an answer that stalls for longer is given up
+STALL_NOTICE_S = 1.0  # an answer that makes no progress for so long is not waited for alone
+RESPONSE_STALL_S = 4.0  # an answer that makes no progress for so long is given up
+PROGRESS_INTERVAL_S = 0.5  # time between checks of the progress of answers
 
 
 class EndpointListMemory(Memory):
@@ -69,10 +72,12 @@
             settle=False,
             response_stall_s=RESPONSE_STALL_S,
         )
-        self.open_requests: dict[Exchange, None] = {}  # in the order of their starts
+        self.loop = loop
+        self.open_requests: dict[Exchange, AnswerHandler] = {}  # in the order of their starts
+        self.on_answer_stalled: Callable[[AnswerHandler], None] = lambda _: None
         self.upstreams.update(SERVICE_ID, address, 0, State.READY)
 
-    def get(self, target: str, timeout_s: float, done: Callable[[bytes | None, str], None]) -> None:
+    def get(self, target: str, timeout_s: float, done: AnswerHandler) -> None:
         """Request `target` once; `done` gets the body of a 200 response, or None and the reason."""
 
         def ended(exchange: Exchange, status: Status, response: Response | None) -> None:
@@ -87,8 +92,19 @@
         head = f"GET {target} HTTP/1.1\r\nHost: {self.host}\r\nAccept: application/json\r\n\r\n".encode()
         self._make_room()
         exchange = Exchange(lambda: head, ended, self.max_response_bytes)
-        self.open_requests[exchange] = None
+        self.open_requests[exchange] = done
         self.upstreams.start(SERVICE_ID, exchange, timeout_s)
+        self.loop.call_later(PROGRESS_INTERVAL_S, self._check_progress, exchange)
+
+    def _check_progress(self, exchange: Exchange) -> None:
+        """Report an answer that has begun and has stalled, once."""
+        handler = self.open_requests.get(exchange)
+        if handler is None:
+            return
+        if exchange.silent_s >= STALL_NOTICE_S:
+            self.on_answer_stalled(handler)
+        else:
+            self.loop.call_later(PROGRESS_INTERVAL_S, self._check_progress, exchange)
 
     def _make_room(self) -> None:
         """Give up the request that is least likely to be answered next, if too many are open.
--- a/ochreflow/http/exchange.py
+++ b/ochreflow/http/exchange.py
@@ -48,6 +48,11 @@
         """Whether part of the response has arrived."""
         ...
 
+    @property
+    def silent_s(self) -> float:
+        """Time since the latest part of the response arrived; 0 before the first one."""
+        ...
+
     @property
     def arrived(self) -> bool:
         """Whether the server's host has acknowledged the whole request."""
@@ -133,6 +138,11 @@
         """Whether part of the response has arrived."""
         return self.connection is not None and self.connection.responding
 
+    @property
+    def silent_s(self) -> float:
+        """Time since the latest part of the response arrived; 0 before the first one."""
+        return self.connection.silent_s if self.connection is not None else 0.0
+
     @property
     def may_run(self) -> bool:
         """Whether the kernel has accepted the last byte of the request."""
--- a/ochreflow/http/upstream_connection.py
+++ b/ochreflow/http/upstream_connection.py
@@ -117,6 +117,11 @@
         """Whether part of the response to the open request has arrived."""
         return self.last_read > 0.0
 
+    @property
+    def silent_s(self) -> float:
+        """Time since the latest part of the response arrived; 0 before the first one."""
+        return monotonic() - self.last_read if self.responding else 0.0
+
     @property
     def arrived(self) -> bool:
         """Whether the server's host has acknowledged the whole request."""
--- a/ochreflow/membership/discovery.py
+++ b/ochreflow/membership/discovery.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from ..core.call_failures import CONNECT_FAILED, CONNECTION_REFUSED, NO_ANSWER, TIMEOUT
+from ..core.clock import NS_PER_S
 from ..core.endpoints import EndpointIds, EndpointUpdate
 from ..core.log import log
 from ..core.ports import Address
@@ -20,15 +21,16 @@
 from .answer_order import AnswerOrder
 from .endpoint_list import parse_endpoint_update
 from .stall_timer import StallTimer
-from .timeouts import LongPollTimeouts
+from .timeouts import NOTIFIED_AFTER_S, LongPollTimeouts
 
 if TYPE_CHECKING:
-    from .transport import DiscoveryTransport
+    from .transport import AnswerHandler, DiscoveryTransport
 
 COMPLETE_LIST_PATH = "/api/targets"
 # Longest time of a call, added to a poll's wait: discovery processes its requests one at a time, and answers
 # may arrive in pieces. Another call is made long before that, but a late answer is still applied.
 ANSWER_TIMEOUT_S = 30.0
+MS_PER_S = 1000
 MIN_POLL_INTERVAL_S = 0.1  # least time between polls that are answered immediately without changes
 FAILURE_OF_REASON = {
     CONNECTION_REFUSED: PollFailure.REFUSED,
@@ -37,6 +39,9 @@
     NO_ANSWER: PollFailure.TIMED_OUT,
 }
 
+FailureHandler = Callable[[PollFailure, int | None], None]
+"""Called with the kind of a failure, and the time in ns in which changes missed before count as notified."""
+
 UpdateHandler = Callable[[EndpointUpdate | None, str], None]
 """Called with an update, or with None and the reason of the failure."""
 
@@ -59,7 +64,7 @@
         on_relocated: Callable[[], None],
         pushed: bool,
         timeouts: LongPollTimeouts,
-        on_failure: Callable[[PollFailure], None] | None = None,
+        on_failure: FailureHandler | None = None,
     ) -> None:
         """Open a transport to `address`; nothing is sent before `watch` or `fetch`.
 
@@ -80,6 +85,7 @@
         # The answer to a poll of an earlier generation is still applied, but no poll follows it.
         self.watch_generation = 0
         self.stall_timer = StallTimer(loop)  # runs while the latest poll is unanswered
+        self.wait_ended_at: float | None = None  # end of the wait of a long poll that has stalled, in seconds
         self.polling_complete = False  # whether the latest poll asks for a complete list
         self.polled_at = 0.0  # time of the latest poll, on the loop's clock, in seconds
         self.requested_at = loop.time()  # time of the latest call, on the loop's clock, in seconds
@@ -87,7 +93,13 @@
         self.answered_at = loop.time()  # time of the last answer, on the loop's clock, in seconds
         self.closed = False
         self.address = address
-        self.transport = create_transport(address)
+        self.transport = self._open_transport()
+        self.latest_handler: AnswerHandler | None = None  # of the latest call
+
+    def _open_transport(self) -> DiscoveryTransport:
+        transport = self.create_transport(self.address)
+        transport.on_answer_stalled = self._on_answer_stalled
+        return transport
 
     @property
     def version(self) -> int | None:
@@ -106,7 +118,7 @@
             return
         log.info("discovery_address_changed", host=address[0], port=address[1])
         old_transport, self.address = self.transport, address
-        self.transport = self.create_transport(address)
+        self.transport = self._open_transport()
         old_transport.close()
         self.answer_order.require_complete_list()
         if known is not None:
@@ -175,6 +187,7 @@
         if not complete or self.resync_pending:
             log.info("discovery_poll_overdue", version=self.version)
         if not complete:
+            self.wait_ended_at = min(self.polled_at + self.timeouts.wait_ms / MS_PER_S, self.loop.time())
             self._start_generation(resync=True)
             return
         resync_stalled = self.resync_pending
@@ -184,6 +197,12 @@
             # a drain. One more request sent now can be answered in the rest of the time.
             self._request(COMPLETE_LIST_PATH, ANSWER_TIMEOUT_S, partial(self._on_poll_answer, generation))
 
+    def _on_answer_stalled(self, handler: AnswerHandler) -> None:
+        """Do not wait alone for an answer that has begun and does not go on; its end is still applied."""
+        if self.watching and handler is self.latest_handler and self.stall_timer.running:
+            self.stall_timer.stop()
+            self._on_stall(self.watch_generation, complete=self.polling_complete)
+
     def _on_poll_answer(self, generation: int, update: EndpointUpdate | None, reason: str) -> None:
         if generation != self.watch_generation:
             if update is not None:
@@ -241,6 +260,7 @@
                     reason = str(error)
             on_answer(update, reason)
 
+        self.latest_handler = on_body
         transport.get(target, timeout_s, on_body)
 
     def _on_fetch_answer(self, update: EndpointUpdate | None, reason: str) -> None:
@@ -261,9 +281,19 @@
         if self.on_failure is None:
             self.on_update(None)
         else:
-            self.on_failure(FAILURE_OF_REASON.get(reason, PollFailure.REJECTED))
+            failure = FAILURE_OF_REASON.get(reason, PollFailure.REJECTED)
+            self.on_failure(failure, self._missed_changes_notified_ns())
+
+    def _missed_changes_notified_ns(self) -> int | None:
+        """Return when the changes that a stalled poll has missed count as notified; None without one."""
+        if self.wait_ended_at is None:
+            return None
+        left_s = self.wait_ended_at + NOTIFIED_AFTER_S - self.loop.time()
+        self.wait_ended_at = None
+        return max(int(left_s * NS_PER_S), 0)
 
     def _accept(self, update: EndpointUpdate) -> None:
+        self.wait_ended_at = None
         self.answer_order.accept(update)
         self.on_update(update)
 
--- a/ochreflow/membership/stall_timer.py
+++ b/ochreflow/membership/stall_timer.py
@@ -16,7 +16,16 @@
 
     def start(self, delay_s: float, on_stall: Callable[[], None]) -> None:
         """Call `on_stall` after `delay_s` seconds, unless the timer is stopped earlier."""
-        self.handle = self.loop.call_later(delay_s, on_stall)
+        self.handle = self.loop.call_later(delay_s, self._expire, on_stall)
+
+    def _expire(self, on_stall: Callable[[], None]) -> None:
+        self.handle = None
+        on_stall()
+
+    @property
+    def running(self) -> bool:
+        """Whether the timer has been started, and has neither expired nor been stopped."""
+        return self.handle is not None
 
     def stop(self) -> None:
         """Cancel the timer if it is running."""
--- a/ochreflow/membership/timeouts.py
+++ b/ochreflow/membership/timeouts.py
@@ -24,7 +24,7 @@
 # Time after a poll's wait from which, by the protocol, the changes that the poll missed count as notified.
 NOTIFIED_AFTER_S = 2.0
 # Share of the drain grace after which a poll counts as stalled; the rest is reserved for a slow answer.
-STALL_GRACE_SHARE = 0.5
+STALL_GRACE_SHARE = 0.3
 # Lower limit of the time after which a poll counts as stalled, if the grace is very short: the tolerance that
 # the protocol allows for every limit.
 MIN_STALL_TIMEOUT_S = 0.05
--- a/ochreflow/membership/transport.py
+++ b/ochreflow/membership/transport.py
@@ -15,6 +15,9 @@
     A request may be given up for a newer one if too many are open.
     """
 
+    on_answer_stalled: Callable[[AnswerHandler], None]
+    """Called with the handler of a request whose answer has begun and has made no progress for a while."""
+
     def get(self, target: str, timeout_s: float, on_answer: AnswerHandler, /) -> None:
         """Send a GET request; `on_answer` is called exactly once, within `timeout_s` seconds."""
         ...
--- a/ochreflow/policy/endpoint_set.py
+++ b/ochreflow/policy/endpoint_set.py
@@ -140,7 +140,7 @@
                 self.poll_schedule.on_start()
             case ListKind.FAILED:
                 self.subscribed = False
-                self.poll_schedule.on_failure(event.failure)
+                self.poll_schedule.on_failure(event.failure, event.notified_ns)
             case ListKind.RELOCATED:
                 self.subscribed = False
                 self.poll_schedule.on_relocation()
--- a/ochreflow/policy/interface.py
+++ b/ochreflow/policy/interface.py
@@ -154,6 +154,8 @@
     version: int
     entries: list[Endpoint]
     failure: PollFailure = PollFailure.REJECTED  # of kind FAILED
+    # Of kind FAILED: time in which changes missed before count as notified; None: only later ones are missed.
+    notified_ns: int | None = None
 
 
 @dataclass(slots=True)
--- a/ochreflow/policy/poll_schedule.py
+++ b/ochreflow/policy/poll_schedule.py
@@ -7,6 +7,8 @@
 one service answers all sidecars. `docs/design/discovery.md` has the inequalities and measurements.
 """
 
+import math
+
 from .interface import PollFailure
 from .list_deadline import HANDED_OVER_NS, POLL_TIMEOUT_NS, REACHABLE_NS, RELOCATED_NS, ListDeadline
 from .state_records import POLL, SECOND, Context, ScheduledTimer
@@ -18,6 +20,8 @@
 FIRST_POLL_SPREAD_PER_SIDECAR_NS = 70 * MS
 LEAST_FIRST_SPREAD_PER_SIDECAR_NS = 18 * MS
 FIRST_POLL_SHARE = 0.7
+CROWDED_POLL_PER_SIDECAR_NS = SECOND // 9  # a crowded discovery answers nine polls a second
+MAX_SLOW_FAILURES = 3  # after which another poll may be in time
 MIN_SPREAD_NS = 500 * MS
 MAX_DELAY_SHARE = 0.6  # longest delay of a poll, as a share of the interval within which a sidecar must poll
 
@@ -25,7 +29,7 @@
 # Least time between two polls that fail, from start to start: in any case, and for each poll that has failed.
 MIN_RETRY_PERIOD_NS = 500 * MS
 RETRY_PERIOD_PER_FAILURE_NS = 200 * MS
-SLOW_RETRY_SPREAD_NS = 300 * MS  # of the next poll after a slow failure
+SLOW_RETRY_SPREAD_NS = 250 * MS  # of the next poll after a slow failure
 MIN_RETRY_DELAY_NS = 100 * MS  # least time between the end of a failed poll and the next one
 URGENT_SHARE = 0.5  # a retry takes this part of the time in which an answer of any length is in time
 CROWDED_URGENT_SHARE = 0.4  # the same after a slow failure, of the time after which another one fits
@@ -80,17 +84,19 @@
         if self.poll_at:
             self._schedule(self._first_spread(), MIN_FIRST_JITTER, not_after=self.poll_at)
 
-    def on_failure(self, failure: PollFailure) -> None:
+    def on_failure(self, failure: PollFailure, notified_ns: int | None = None) -> None:
         """Schedule the next poll after a failed one, or after the subscription broke.
 
+        With `notified_ns`, changes that were missed before count as notified in that time.
         Discovery may have recovered as soon as the failed poll began, and a change may count from then on.
         """
         now = self.context.now
         poll_duration_ns = now - self.poll_started_at
         # A poll that seems to have taken longer had been answered before its subscription failed.
         failed_for_ns = poll_duration_ns * (poll_duration_ns <= 2 * POLL_TIMEOUT_NS)
-        if not self.scheduled_polls:
-            self._schedule_first(REACHABLE_NS - failed_for_ns)
+        if not self.scheduled_polls or notified_ns is not None:
+            missed_ns = REACHABLE_NS - failed_for_ns if notified_ns is None else notified_ns
+            self._schedule_first(missed_ns)
             return
         if failure is PollFailure.REJECTED and failed_for_ns >= SLOW_FAILURE_NS:
             failure = PollFailure.REJECTED_LATE
@@ -131,7 +137,20 @@
         least_ns = min(self._for_fleet(LEAST_FIRST_SPREAD_PER_SIDECAR_NS), after_failure_ns)
         most_ns = max(FIRST_POLL_SHARE * to_poll_ns, least_ns, MIN_SPREAD_NS)
         wanted_ns = max(self._for_fleet(FIRST_POLL_SPREAD_PER_SIDECAR_NS), MIN_SPREAD_NS)
-        return min(wanted_ns, most_ns)
+        return min(wanted_ns, most_ns, self._spread_before_slow_failures(to_poll_ns))
+
+    def _spread_before_slow_failures(self, to_poll_ns: int) -> float:
+        """Return the span after which two or more slow failures fit, if the fleet can poll in that time.
+
+        A crowded discovery has to answer all of these polls before it rejects the first one.
+        """
+        crowded_ns = self._for_fleet(CROWDED_POLL_PER_SIDECAR_NS) - POLL_TIMEOUT_NS
+        for failures in (MAX_SLOW_FAILURES, MAX_SLOW_FAILURES - 1):
+            failed_ns = failures * (POLL_TIMEOUT_NS + SLOW_RETRY_SPREAD_NS)
+            spread_ns = to_poll_ns + POLL_TIMEOUT_NS - PROMPT_ANSWER_NS - failed_ns
+            if spread_ns >= max(crowded_ns, MIN_SPREAD_NS):
+                return spread_ns
+        return math.inf
 
     def _urgent_delay(self, failure: PollFailure, failed_for_ns: int) -> float | None:
         """Return the delay of a poll that leaves time for another until the list is due.
--- a/tests/test_discovery_recovery.py
+++ b/tests/test_discovery_recovery.py
@@ -233,7 +233,7 @@
             on_relocated=lambda: self.post(Membership(ListKind.RELOCATED, 0, [])),
             pushed=pushed,
             timeouts=long_poll_timeouts(grace_ns),
-            on_failure=lambda failure: self.post(Membership(ListKind.FAILED, 0, [], failure)),
+            on_failure=lambda *failure: self.post(Membership(ListKind.FAILED, 0, [], *failure)),
         )
         self.post(Membership(ListKind.CACHED, known, []))
 
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -661,3 +661,35 @@
         transport.close()
 
     run(scenario())
+
+
+@pytest.mark.parametrize("on_watch", [True, False], ids=["watch", "complete-list"])
+def test_an_answer_that_stalls_halfway_is_not_waited_for_alone(on_watch):
+    """Half an answer to a watch would be noticed only once its whole wait is over."""
+
+    async def scenario():
+        async def handler(message, reader, writer):
+            data = listing(41, entry("s1", f"{HOST}:7", "DRAINING"))
+            if len(fake.received) == 1:
+                writer.write(data[:-20])
+                await reader.read()
+            elif len(fake.received) == 2:
+                writer.write(data)
+            else:
+                await reader.read()
+
+        fake = await FakePeer(handler).start()
+        updates = []
+        client = discovery_client(fake, 40 if on_watch else None, updates)
+        began = asyncio.get_running_loop().time()
+        client.watch(on=True)
+        await wait_until(lambda: updates)
+        assert asyncio.get_running_loop().time() - began < 1.8
+        if on_watch:
+            assert updates[0].version == 41 and "after=" not in fake.received[1].start_line
+        else:
+            assert updates == [None]  # the balancer decides when to poll again
+        assert fake.ended_connections == 0
+        client.close()
+
+    run(scenario())
