Let no failure postpone what is due already, and keep no second copy of a shared list

A case of test_discovery_failures (100 sidecars, two calls that fail after 1 s) was late by 0.2 s: a failure that shows more than the one before it moved the due time although the list was not overdue yet, and what discovery had at the event stayed due. Now it counts only once the list is overdue.

--- a/ochreflow/app/hot_restart.py
+++ b/ochreflow/app/hot_restart.py
@@ -13,6 +13,7 @@
 import contextlib
 import os
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
 from ..core.limits import Usage
@@ -99,6 +100,7 @@
     def share_lists(self, lists: EndpointListSharing) -> None:
         """Exchange endpoint lists with the other processes from now on."""
         self.lists = lists
+        self.inherited = NO_INHERITANCE  # the list is in effect now, and is not kept twice
         lists.on_change = self._send_list
         for link in list(self.links):
             if link.process_id is not None:
@@ -115,6 +117,7 @@
         elif inheritance.endpoint_list is not None and not link.silent:
             link.silent = True  # a process of an earlier version, which does not pass on its lists
             self.lists.on_peer_silent()
+        link.inheritance = replace(inheritance, endpoint_list=None)
 
     def _send_list(self) -> None:
         for link in list(self.links):
--- a/ochreflow/policy/list_deadline.py
+++ b/ochreflow/policy/list_deadline.py
@@ -28,6 +28,7 @@
         # The failed poll since then that shows best that discovery is there; None: no poll has failed.
         self.strongest_failure: PollFailure | None = None
         self.failed_polls = 0  # since the due time has moved
+        self.returned = False  # whether the due time counts from the first sign of discovery after an outage
 
     @property
     def window_ns(self) -> int:
@@ -45,6 +46,7 @@
         self.due_at = now + notified_ns + self.settings.drain_grace_ns
         self.strongest_failure = None
         self.failed_polls = 0
+        self.returned = False
 
     def bring_forward(self, now: int, notified_ns: int) -> None:
         """Let the list be due no later than for changes that count as notified in `notified_ns`."""
@@ -54,18 +56,27 @@
     def poll_failed(self, failure: PollFailure, now: int, previous_started_at: int) -> None:
         """Take a failed poll into account; the poll before it began at `previous_started_at`.
 
-        A refused connection shows that discovery had been away until now. If a failure shows better than the
-        earlier ones that discovery is there, it may have returned as soon as the poll before this one began.
-        Any other failure leaves the due time as it is.
+        A refused connection shows that discovery had been away until now. If the list is overdue, and a
+        failure shows better than the earlier ones that discovery is there, it may have returned as soon as
+        the poll before this one began. Any other failure leaves the due time as it is.
         """
         if failure is PollFailure.REFUSED:
             self.begin(now, REACHABLE_NS)
-        elif self.strongest_failure is not None and failure > self.strongest_failure:
-            self.due_at = max(self.due_at, previous_started_at + self.window_ns)
+            self.returned = True
+        elif self._is_overdue(now) and self._shows_more(failure):
+            self.due_at = previous_started_at + self.window_ns
             self.failed_polls = 0
+            self.returned = True
         self.failed_polls += 1
         self.strongest_failure = max(failure, self.strongest_failure or failure)
 
+    def _shows_more(self, failure: PollFailure) -> bool:
+        """Return whether a failure shows better than the earlier ones that discovery is there."""
+        return self.strongest_failure is not None and failure > self.strongest_failure
+
+    def _is_overdue(self, now: int) -> bool:
+        return now > self.due_at
+
     def time_left_ns(self, now: int) -> int:
         """Return the time until the list is due; it is negative after that."""
         return self.due_at - now
--- a/ochreflow/policy/poll_schedule.py
+++ b/ochreflow/policy/poll_schedule.py
@@ -33,6 +33,7 @@
 MIN_RETRY_DELAY_NS = 100 * MS  # least time between the end of a failed poll and the next one
 URGENT_SHARE = 0.5  # a retry takes this part of the time in which an answer of any length is in time
 CROWDED_URGENT_SHARE = 0.4  # the same after a slow failure, of the time after which another one fits
+RETURN_SHARE = 0.9  # the same after the first sign that discovery is back: all sidecars poll it again then
 LATE_URGENT_SHARE = 0.5  # the same once only a prompt answer is in time
 REFUSED_PERIOD_PER_SIDECAR_NS = 10 * MS  # while connections are refused: a poll costs discovery nothing
 MAX_REFUSED_PERIOD_NS = 2 * SECOND
@@ -178,7 +179,8 @@
         if failure is PollFailure.REJECTED_LATE:
             another_ns = latest_ns - max(failed_for_ns + SLOW_RETRY_SPREAD_NS, POLL_TIMEOUT_NS)
             fleet_spread_ns = self._for_fleet(FIRST_POLL_SPREAD_PER_SIDECAR_NS)
-            spread_ns = max(spread_ns, min(fleet_spread_ns, int(another_ns * CROWDED_URGENT_SHARE)))
+            share = RETURN_SHARE if self.deadline.returned else CROWDED_URGENT_SHARE
+            spread_ns = max(spread_ns, min(fleet_spread_ns, int(another_ns * share)))
         return max(min(spread_ns, latest_ns), MIN_RETRY_DELAY_NS)
 
     def _steady_delay(self, failed_for_ns: int) -> float:
--- a/tests/test_list_deadline.py
+++ b/tests/test_list_deadline.py
@@ -103,3 +103,12 @@
     assert deadline.due_at == 124 * S
     deadline.poll_failed(PollFailure.TIMED_OUT, 126 * S, 122 * S)
     assert deadline.due_at == 124 * S
+
+
+def test_a_failure_before_the_due_time_does_not_postpone_it():
+    """What discovery had at the event is due then, whatever kinds of failure follow each other."""
+    deadline = ListDeadline(Settings(classes=[], zones=[]))
+    deadline.begin(100 * S, 6 * S)
+    deadline.poll_failed(PollFailure.REJECTED, 102 * S, 100 * S)
+    deadline.poll_failed(PollFailure.REJECTED_LATE, 105 * S, 102 * S)
+    assert deadline.due_at == 106 * S
