Draw all repeated polls from one share of their time, and forget a silent watch with its address

After a change of the address, a poll that had stalled at the old one counted for the failures at the new one. The schedule had two names for one value.

--- a/ochreflow/membership/discovery.py
+++ b/ochreflow/membership/discovery.py
@@ -120,6 +120,7 @@
         old_transport, self.address = self.transport, address
         self.transport = self._open_transport()
         old_transport.close()
+        self.wait_ended_at = None
         self.answer_order.require_complete_list()
         if known is not None:
             self.answer_order.accept(known)
@@ -171,7 +172,7 @@
         target, wait_s = COMPLETE_LIST_PATH, 0.0
         if not complete:
             target += f"?after={self.version}&wait_ms={self.timeouts.wait_ms}"
-            wait_s, stall_s = self.timeouts.wait_ms / 1000, self.timeouts.poll_stall_s
+            wait_s, stall_s = self.timeouts.wait_ms / MS_PER_S, self.timeouts.poll_stall_s
         elif self.resync_pending:
             stall_s = self.timeouts.resync_stall_s
         else:
@@ -285,7 +286,7 @@
             self.on_failure(failure, self._missed_changes_notified_ns())
 
     def _missed_changes_notified_ns(self) -> int | None:
-        """Return when the changes that a stalled poll has missed count as notified; None without one."""
+        """Return the time in which changes missed by a stalled poll count as notified; None without one."""
         if self.wait_ended_at is None:
             return None
         left_s = self.wait_ended_at + NOTIFIED_AFTER_S - self.loop.time()
--- a/ochreflow/policy/poll_schedule.py
+++ b/ochreflow/policy/poll_schedule.py
@@ -1,10 +1,10 @@
 """The schedule of polls of discovery: when to poll after a start, a change of its address or a failed poll.
 
-`ListDeadline` knows when the list is due. Until then, polls share the time that is left, so that further ones
-may fail: each failed poll is followed by another at a third of the remaining time. Once the due time has
-passed, discovery may return at any moment without notice. Polls then begin at a steady period, of which the
-time between the return and the due time holds two to four: as many as the fleet's polls together allow, since
-one service answers all sidecars. `docs/design/discovery.md` has the inequalities and measurements.
+`ListDeadline` knows when the list is due. Until then, each failed poll is followed by another within a part
+of the time that is left, so that further ones may fail. Once the due time has passed, discovery may return at
+any moment without notice. Polls then begin at a steady period, of which the time between the return and the
+due time holds two to four: as many as the fleet's polls together allow, since one service answers all
+sidecars. `docs/design/discovery.md` has the inequalities and measurements.
 """
 
 import math
@@ -15,8 +15,8 @@
 
 MS = SECOND // 1000
 
-# The first poll after an event is spread over this time for each sidecar, and over more than half of the time
-# in which it must begin only in large fleets.
+# The first poll after an event is spread over this time for each sidecar, and over more than a share of the
+# time in which it must begin only in large fleets.
 FIRST_POLL_SPREAD_PER_SIDECAR_NS = 70 * MS
 LEAST_FIRST_SPREAD_PER_SIDECAR_NS = 18 * MS
 FIRST_POLL_SHARE = 0.7
@@ -47,8 +47,7 @@
 SLOW_FAILURE_NS = POLL_TIMEOUT_NS // 2  # a poll that failed later had to wait for other callers
 
 # Least delay as a share of the greatest one: all sidecars that had a common failure must not poll together.
-MIN_FIRST_JITTER = 0.1
-MIN_RETRY_JITTER = 0.1
+MIN_JITTER = 0.1
 MIN_CROWDED_JITTER = 0.85  # once the period is steady, while polls fail slowly
 MIN_STEADY_JITTER = 0.95  # once the period is steady: polls are spread by then, and fewer are enough
 
@@ -83,7 +82,7 @@
         """Poll soon, since another process of this sidecar may be notified in place of this one."""
         self.deadline.bring_forward(self.context.now, HANDED_OVER_NS)
         if self.poll_at:
-            self._schedule(self._first_spread(), MIN_FIRST_JITTER, not_after=self.poll_at)
+            self._schedule(self._first_spread(), MIN_JITTER, not_after=self.poll_at)
 
     def on_failure(self, failure: PollFailure, notified_ns: int | None = None) -> None:
         """Schedule the next poll after a failed one, or after the subscription broke.
@@ -103,18 +102,17 @@
             failure = PollFailure.REJECTED_LATE
         self.deadline.poll_failed(failure, now, self.previous_poll_started_at)
         if failure is PollFailure.REFUSED:
-            self._schedule(self._refused_period(), MIN_RETRY_JITTER)
+            self._schedule(self._refused_period(), MIN_JITTER)
             return
-        is_slow = failed_for_ns >= SLOW_FAILURE_NS
         steady_delay_ns = self._steady_delay(failed_for_ns)
         urgent_delay_ns = self._urgent_delay(failure, failed_for_ns)
         if urgent_delay_ns is not None and urgent_delay_ns < steady_delay_ns:
             self.is_steady = False
-            self._schedule(urgent_delay_ns, MIN_FIRST_JITTER if is_slow else MIN_RETRY_JITTER)
+            self._schedule(urgent_delay_ns, MIN_JITTER)
             return
         # Urgent polls of a fleet draw near to each other, since their list is due at the same time.
-        steady_jitter = MIN_CROWDED_JITTER if is_slow else MIN_STEADY_JITTER
-        self._schedule(steady_delay_ns, steady_jitter if self.is_steady else MIN_FIRST_JITTER)
+        steady_jitter = MIN_CROWDED_JITTER if failed_for_ns >= SLOW_FAILURE_NS else MIN_STEADY_JITTER
+        self._schedule(steady_delay_ns, steady_jitter if self.is_steady else MIN_JITTER)
         self.is_steady = True
 
     def take_due_poll(self) -> bool:
@@ -128,7 +126,7 @@
     def _schedule_first(self, notified_ns: int, not_after: int = 0) -> None:
         """Schedule the first poll after an event, from which a drain counts as notified in `notified_ns`."""
         self.deadline.begin(self.context.now, notified_ns)
-        self._schedule(self._first_spread(), MIN_FIRST_JITTER, not_after)
+        self._schedule(self._first_spread(), MIN_JITTER, not_after)
 
     def _first_spread(self) -> float:
         """Return the span in which to poll first until the list is due."""
