Keep later retries of a poll apart: only the first one has to spread a fleet

All retries were drawn from 0.1 of their time on, a mean of 0.55. After the first one the polls of a fleet are spread.

--- a/ochreflow/policy/poll_schedule.py
+++ b/ochreflow/policy/poll_schedule.py
@@ -48,6 +48,7 @@
 
 # Least delay as a share of the greatest one: all sidecars that had a common failure must not poll together.
 MIN_JITTER = 0.1
+MIN_RETRY_JITTER = 0.6  # of the second retry and later ones, since the first one has spread the polls
 MIN_CROWDED_JITTER = 0.85  # once the period is steady, while polls fail slowly
 MIN_STEADY_JITTER = 0.95  # once the period is steady: polls are spread by then, and fewer are enough
 
@@ -108,7 +109,9 @@
         urgent_delay_ns = self._urgent_delay(failure, failed_for_ns)
         if urgent_delay_ns is not None and urgent_delay_ns < steady_delay_ns:
             self.is_steady = False
-            self._schedule(urgent_delay_ns, MIN_JITTER)
+            self._schedule(
+                urgent_delay_ns, MIN_JITTER if self.deadline.failed_polls <= 1 else MIN_RETRY_JITTER
+            )
             return
         # Urgent polls of a fleet draw near to each other, since their list is due at the same time.
         steady_jitter = MIN_CROWDED_JITTER if failed_for_ns >= SLOW_FAILURE_NS else MIN_STEADY_JITTER
